--- /dev/null
+++ b/cmd/check.go
@@ -0,0 +1,78 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/godwithatch/godwithatch/modules/setting"
+	"github.com/godwithatch/godwithatch/services/table"
+)
+
+type checkCommand struct {
+	Settings []string `arg:"" optional:"" help:"Files with settings; several are also compared with each other." type:"path"`
+	Routes   string   `help:"File with the routes table." type:"path" and:"tables"`
+	Pools    string   `help:"File with the pools table." type:"path" and:"tables"`
+}
+
+// Run checks everything that is named and lists every fault.
+func (c *checkCommand) Run(o *output) error {
+	faults := c.checkSettings()
+	problems, err := c.checkTables()
+	if err != nil {
+		return err
+	}
+	err = o.print(struct {
+		Settings setting.Faults `json:"settings"`
+		Tables   table.Problems `json:"tables"`
+	}{faults, problems}, func(w io.Writer) {
+		for _, f := range faults {
+			fmt.Fprintln(w, f.Error())
+		}
+		for _, p := range problems {
+			fmt.Fprintln(w, p.Error())
+		}
+		if len(faults)+len(problems) == 0 {
+			fmt.Fprintln(w, "no faults")
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if n := len(faults) + len(problems); n > 0 {
+		return errFound.New("%d", n)
+	}
+	return nil
+}
+
+func (c *checkCommand) checkSettings() setting.Faults {
+	var faults setting.Faults
+	var all []*setting.Settings
+	for _, path := range c.Settings {
+		cfg, err := setting.Load(path)
+		var found setting.Faults
+		if errors.As(err, &found) {
+			faults = append(faults, found...)
+			continue
+		}
+		all = append(all, cfg)
+	}
+	return append(faults, setting.CheckTogether(all)...)
+}
+
+func (c *checkCommand) checkTables() (table.Problems, error) {
+	if c.Routes == "" {
+		return nil, nil
+	}
+	routes, err := os.ReadFile(c.Routes)
+	if err != nil {
+		return nil, err
+	}
+	pools, err := os.ReadFile(c.Pools)
+	if err != nil {
+		return nil, err
+	}
+	_, problems := table.Join(routes, pools)
+	return problems, nil
+}
--- /dev/null
+++ b/modules/fault/fault.go
@@ -0,0 +1,133 @@
+// Package fault defines the typed failures that the system reports to callers
+// and to its own processes.
+//
+// # Usage
+//
+// A Fault has a Kind, which is stable and part of the interface, an Outcome,
+// which says whether the request may have run, and a detail for people:
+//
+//	return fault.New(fault.UnknownRoute, fault.NotRun, "route %q is not in the accepted configuration", name)
+//
+// Use From to read the Fault out of a wrapped error. An error without a Fault
+// inside counts as Internal with the outcome Unknown, because nothing is
+// proved about it.
+package fault
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind names a class of failure. Its text form is stable.
+type Kind int
+
+// The kinds of failure.
+const (
+	Internal Kind = iota
+	MalformedBody
+	BodyTooLarge
+	HeaderTooLarge
+	UnknownRoute
+	InvalidTimeout
+	InvalidKey
+	KeyRequired
+	DeadlineExceeded
+	Overloaded
+	NotReady
+	Stopping
+	NoSnapshot
+	Incomplete
+	UpstreamFailed
+	UpstreamRefused
+	ConnectionFailed
+	ConnectionSilent
+	CorruptReply
+	StoreUnavailable
+	KeyInUse
+	KeyMismatch
+	KeyExpired
+	RequestQuarantined
+	PeerFailed
+	Cancelled
+	VersionConflict
+	ObjectTooLarge
+	ObjectNotFound
+	OutcomeUnknown
+)
+
+// Outcome says whether a request may have run on an upstream.
+type Outcome int
+
+// The outcomes of a request that got no answer.
+const (
+	// Unknown means that the request may have run.
+	Unknown Outcome = iota
+	// NotRun means that the request is proved not to have run.
+	NotRun
+)
+
+// Fault is a typed failure. The zero value is an Internal fault of Unknown
+// outcome.
+type Fault struct {
+	kind    Kind
+	outcome Outcome
+	detail  string
+	cause   error
+}
+
+// New returns a Fault with a formatted detail.
+func New(kind Kind, outcome Outcome, format string, args ...any) *Fault {
+	return &Fault{kind: kind, outcome: outcome, detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns a Fault that keeps err as its cause.
+func Wrap(kind Kind, outcome Outcome, err error, format string, args ...any) *Fault {
+	f := New(kind, outcome, format, args...)
+	f.cause = err
+	return f
+}
+
+// Kind returns the class of the failure.
+func (f *Fault) Kind() Kind { return f.kind }
+
+// Outcome returns whether the request may have run.
+func (f *Fault) Outcome() Outcome { return f.outcome }
+
+// Detail returns the explanation for people.
+func (f *Fault) Detail() string { return f.detail }
+
+// WithOutcome returns a copy of f with another outcome.
+func (f *Fault) WithOutcome(outcome Outcome) *Fault {
+	c := *f
+	c.outcome = outcome
+	return &c
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	if f.cause == nil {
+		return fmt.Sprintf("%s (%s): %s", f.kind, f.outcome, f.detail)
+	}
+	return fmt.Sprintf("%s (%s): %s: %v", f.kind, f.outcome, f.detail, f.cause)
+}
+
+// Unwrap returns the cause, if any.
+func (f *Fault) Unwrap() error { return f.cause }
+
+// From returns the Fault inside err. An error without one counts as Internal
+// with the outcome Unknown.
+func From(err error) *Fault {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f
+	}
+	return Wrap(Internal, Unknown, err, "unexpected failure")
+}
+
+// Is reports whether err holds a Fault of the given kind.
+func Is(err error, kind Kind) bool {
+	var f *Fault
+	return errors.As(err, &f) && f.kind == kind
+}
+
+//go:generate ../../.bin/enumer -type=Kind,Outcome -transform=snake -text -output=fault_enumer.go
--- /dev/null
+++ b/modules/setting/load.go
@@ -0,0 +1,105 @@
+package setting
+
+import (
+	"os"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Load reads and checks one file. On failure it returns Faults.
+func Load(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Faults{{File: path, Message: "cannot be read: " + err.Error()}}
+	}
+	return Parse(path, content)
+}
+
+// Parse checks the content of a file. The path is used in faults only.
+func Parse(path string, content []byte) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{Insensitive: false}, content)
+	if err != nil {
+		return nil, Faults{{File: path, Message: "is not INI: " + err.Error()}}
+	}
+	r := newReader(path, file, content)
+	s := &Settings{path: path}
+	s.readHost(r)
+	s.readCaller(r)
+	s.readPeers(r)
+	s.readPlatform(r)
+	s.readBalance(r)
+	r.refuseUnknown()
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return s, nil
+}
+
+func (s *Settings) readHost(r *reader) {
+	s.host = r.name("host", "ID")
+	s.dc = r.name("host", "DATA_CENTRE")
+	s.logLevel = r.oneOf("log", "LEVEL", "info", "debug", "info", "warn", "error")
+}
+
+func (s *Settings) readCaller(r *reader) {
+	s.caller.listen = r.address("caller", "LISTEN")
+	s.caller.maxBody = r.bytes("caller", "MAX_BODY", 1<<20, 1<<10, 64<<20)
+	s.caller.maxHeader = r.bytes("caller", "MAX_HEADER", 16<<10, 1<<10, 1<<20)
+	s.caller.maxTimeout = r.duration("caller", "MAX_TIMEOUT", 30*time.Second, time.Millisecond, 10*time.Minute)
+	s.caller.maxInFlight = r.integer("caller", "MAX_IN_FLIGHT", 2000, 1, 1_000_000)
+	s.caller.drainDelay = r.duration("caller", "DRAIN_DELAY", 2*time.Second, 0, time.Minute)
+	s.operator.listen = r.address("operator", "LISTEN")
+}
+
+func (s *Settings) readPeers(r *reader) {
+	s.peer.listen = r.address("peer", "LISTEN")
+	s.peer.ca = r.readable("peer", "CA_FILE")
+	s.peer.cert = r.readable("peer", "CERT_FILE")
+	s.peer.key = r.readable("peer", "KEY_FILE")
+	s.peer.heartbeat = r.duration("peer", "HEARTBEAT", time.Second, 50*time.Millisecond, 10*time.Second)
+}
+
+func (s *Settings) readPlatform(r *reader) {
+	s.platform.address = r.address("platform", "ADDRESS")
+	s.platform.timeout = r.duration("platform", "TIMEOUT", time.Second, 10*time.Millisecond, time.Minute)
+	s.platform.watchers = r.integer("platform", "WATCHERS", 2, 1, 10)
+	s.platform.poll = r.duration("platform", "POLL", 10*time.Second, 100*time.Millisecond, 10*time.Minute)
+}
+
+func (s *Settings) readBalance(r *reader) {
+	s.balance.subset = r.integer("balance", "SUBSET", 0, 0, 1000)
+	s.balance.hedgeShare = r.fraction("balance", "HEDGE_SHARE", 0.02)
+	s.balance.hedgeBurst = r.integer("balance", "HEDGE_BURST", 10, 0, 10_000)
+	s.balance.silence = r.duration("balance", "SILENCE", 250*time.Millisecond, time.Millisecond, time.Minute)
+	s.balance.claimBuckets = r.integer("balance", "CLAIM_BUCKETS", 16, 1, 1024)
+}
+
+// CheckTogether returns the faults that show only when the settings of several
+// daemons are compared: a shared identity or a shared address.
+func CheckTogether(all []*Settings) Faults {
+	var faults Faults
+	seen := map[string]string{}
+	claim := func(s *Settings, section, key, value string) {
+		id := key + "=" + value
+		if first, ok := seen[id]; ok {
+			faults = append(faults, Fault{
+				File: s.path, Section: section, Key: key,
+				Message: value + " is already used by " + first,
+			})
+			return
+		}
+		seen[id] = s.path
+	}
+	for _, s := range all {
+		claim(s, "host", "ID", s.host)
+		for section, address := range map[string]string{
+			"caller":   s.caller.listen,
+			"operator": s.operator.listen,
+		} {
+			claim(s, section, "LISTEN (TCP)", address)
+		}
+		claim(s, "peer", "LISTEN (UDP)", s.peer.listen)
+	}
+	return faults
+}
--- /dev/null
+++ b/routers/operator/operator.go
@@ -0,0 +1,99 @@
+// Package operator serves operators and the platform's balancer over HTTP.
+//
+// # Usage
+//
+//	GET /healthz      200 while the process runs
+//	GET /readyz       200 while the balancer should send requests, else 503
+//	GET /metrics      Prometheus metrics
+//	GET /status       the status of this host, JSON
+//	GET /debug/state  the blackboard, each section with its age and source
+//
+//	server := operator.NewServer(cfg, daemon)
+//	err := server.Serve()
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/godwithatch/godwithatch/modules/blackboard"
+	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/setting"
+	"github.com/godwithatch/godwithatch/services/daemon"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// Source is the process that operators look at.
+type Source interface {
+	Readiness() daemon.Readiness
+	Status() daemon.Status
+	Dump() []blackboard.State
+	Registry() *prometheus.Registry
+}
+
+// Server is the listener for operators.
+type Server struct {
+	cfg    *setting.Operator
+	source Source
+	http   *http.Server
+}
+
+// NewServer returns a Server that is not listening yet.
+func NewServer(cfg *setting.Operator, source Source) *Server {
+	s := &Server{cfg: cfg, source: source}
+	s.http = &http.Server{Addr: cfg.Listen(), Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	return s
+}
+
+type body[T any] struct{ Body T }
+
+type readiness struct {
+	Status int
+	Body   daemon.Readiness
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	config := huma.DefaultConfig("godwithatch operator", "1")
+	config.CreateHooks = nil
+	api := humago.New(mux, config)
+	huma.Get(api, "/healthz", func(context.Context, *struct{}) (*body[string], error) {
+		return &body[string]{"ok"}, nil
+	})
+	huma.Get(api, "/readyz", func(context.Context, *struct{}) (*readiness, error) {
+		r := s.source.Readiness()
+		status := http.StatusOK
+		if !r.Ready {
+			status = http.StatusServiceUnavailable
+		}
+		return &readiness{status, r}, nil
+	})
+	huma.Get(api, "/status", func(context.Context, *struct{}) (*body[daemon.Status], error) {
+		return &body[daemon.Status]{s.source.Status()}, nil
+	})
+	huma.Get(api, "/debug/state", func(context.Context, *struct{}) (*body[[]blackboard.State], error) {
+		return &body[[]blackboard.State]{s.source.Dump()}, nil
+	})
+	mux.Handle("/metrics", promhttp.HandlerFor(s.source.Registry(), promhttp.HandlerOpts{}))
+	return mux
+}
+
+// Serve listens until Shutdown.
+func (s *Server) Serve() error {
+	if err := s.http.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fault.Wrap(fault.Internal, fault.NotRun, err, "cannot serve operators on %s", s.cfg.Listen())
+	}
+	return nil
+}
+
+// Shutdown takes no new requests and waits for those in flight.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- /dev/null
+++ b/services/balance/knowledge.go
@@ -0,0 +1,37 @@
+package balance
+
+import (
+	"slices"
+
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+// FullLevel is the level of a server without a limit on all hosts together.
+const FullLevel = 1 << 20
+
+// Knowledge is what hosts tell each other of one server. Of two records, the
+// one of the higher epoch is the newer; within an epoch, that of the higher
+// sequence.
+type Knowledge struct {
+	Server   string             `cbor:"1,keyasint"`
+	Epoch    uint64             `cbor:"2,keyasint"`
+	Sequence uint64             `cbor:"3,keyasint"`
+	Level    int                `cbor:"4,keyasint"`
+	Instance string             `cbor:"5,keyasint,omitempty"`
+	Holdings []upstream.Holding `cbor:"6,keyasint,omitempty"`
+	Draining bool               `cbor:"7,keyasint,omitempty"`
+}
+
+// newer reports whether k replaces old. Among records of equal rank the lower
+// level wins, which is the safe side, so that all hosts settle on one.
+func (k Knowledge) newer(old Knowledge) bool {
+	if k.Epoch != old.Epoch {
+		return k.Epoch > old.Epoch
+	}
+	if k.Sequence != old.Sequence {
+		return k.Sequence > old.Sequence
+	}
+	return k.Level < old.Level
+}
+
+func (k Knowledge) holds(h upstream.Holding) bool { return slices.Contains(k.Holdings, h) }
--- /dev/null
+++ b/services/balance/tracker.go
@@ -0,0 +1,358 @@
+package balance
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/godwithatch/godwithatch/services/table"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+const (
+	// latencyWeight is the weight of one observation in the moving average.
+	latencyWeight = 8
+	// growInterval is the shortest time at one level before the next.
+	growInterval = 400 * time.Millisecond
+	// growSuccesses is the least number of successes at one level.
+	growSuccesses = 3
+	// slowFactor is how many times slower than its pool a server may be while
+	// its limit grows.
+	slowFactor = 2
+	// resetWindow is the time within which two broken connections count as a
+	// fall.
+	resetWindow = time.Second
+	// firstBackoff and lastBackoff bound the pause after a refused connection.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+	// shareRegrowth is the interval at which a share cut by shedding regrows.
+	shareRegrowth = 200 * time.Millisecond
+)
+
+// Tracker is what this host knows of one server. The request path uses its
+// atomic fields only.
+type Tracker struct {
+	upstream *table.Upstream
+	load     *PoolLoad
+	notify   func()
+
+	inFlight     atomic.Int32
+	share        atomic.Int32
+	cut          atomic.Int32
+	latency      atomic.Int64
+	blockedUntil atomic.Int64
+	probedAt     atomic.Int64
+	draining     atomic.Bool
+	ramping      atomic.Bool
+
+	mu        sync.Mutex
+	known     Knowledge
+	rank      int
+	hosts     int
+	perHost   int
+	direct    bool
+	successes int
+	levelAt   time.Time
+	resetAt   time.Time
+	cutAt     time.Time
+	backoff   time.Duration
+	dirty     bool
+}
+
+func newTracker(u *table.Upstream, load *PoolLoad, notify func()) *Tracker {
+	t := &Tracker{upstream: u, load: load, notify: notify}
+	t.known = Knowledge{Server: u.ID(), Level: 1}
+	t.levelAt = time.Now()
+	t.ramping.Store(true)
+	return t
+}
+
+// Upstream returns the server.
+func (t *Tracker) Upstream() *table.Upstream { return t.upstream }
+
+// InFlight returns how many requests of this host the server has.
+func (t *Tracker) InFlight() int { return int(t.inFlight.Load()) }
+
+// Share returns how many requests this host may have at the server.
+func (t *Tracker) Share() int { return int(t.share.Load()) }
+
+// Latency returns the moving average of the server's latency, or zero.
+func (t *Tracker) Latency() time.Duration { return time.Duration(t.latency.Load()) }
+
+// Rank returns the place of this host in the server's subset.
+func (t *Tracker) Rank() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rank
+}
+
+// Knowledge returns what this host tells others of the server.
+func (t *Tracker) Knowledge() Knowledge {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known
+}
+
+// TakeChanged returns the knowledge if it changed since the last call.
+func (t *Tracker) TakeChanged() (Knowledge, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := t.dirty
+	t.dirty = false
+	return t.known, changed
+}
+
+// place sets the rank of this host among the hosts of the server's subset, and
+// the connections that each may use.
+func (t *Tracker) place(rank, hosts, perHost int, direct bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rank, t.hosts, t.perHost, t.direct = rank, hosts, perHost, direct
+	t.computeShare()
+}
+
+// computeShare spreads the level over the hosts of the subset, the first ones
+// getting the rest of the division. The caller holds mu.
+func (t *Tracker) computeShare() {
+	share := t.perHost
+	if !t.direct && t.known.Level < t.hosts*t.perHost {
+		share = t.known.Level / max(t.hosts, 1)
+		if t.rank < t.known.Level%max(t.hosts, 1) {
+			share++
+		}
+	}
+	if t.rank >= t.hosts {
+		share = 0
+	}
+	t.share.Store(int32(min(share, t.perHost)))
+	t.ramping.Store(!t.direct && t.known.Level < FullLevel)
+}
+
+// acquire takes one unit of the share.
+func (t *Tracker) acquire() bool {
+	limit := t.share.Load() - t.cut.Load()
+	if limit < 1 && t.share.Load() > 0 {
+		limit = 1
+	}
+	if t.inFlight.Add(1) <= limit {
+		return true
+	}
+	t.inFlight.Add(-1)
+	return false
+}
+
+func (t *Tracker) isOpen(now int64) bool {
+	return !t.draining.Load() && t.blockedUntil.Load() <= now
+}
+
+// Release gives back the unit of the share that a choice took.
+func (t *Tracker) Release() {
+	t.inFlight.Add(-1)
+	t.load.free()
+}
+
+// Succeeded records the latency of an answer and what the server said.
+func (t *Tracker) Succeeded(d time.Duration, s upstream.State) {
+	t.observeLatency(d)
+	t.load.latencies.Observe(d)
+	t.load.completed.Add(1)
+	if t.ramping.Load() {
+		t.mu.Lock()
+		t.successes++
+		t.backoff = 0
+		t.mu.Unlock()
+	}
+	t.observeState(s)
+}
+
+// Abandoned records that a request was given up after a time without answer.
+// The server is at least that slow.
+func (t *Tracker) Abandoned(after time.Duration) {
+	if after > t.Latency() {
+		t.observeLatency(after)
+	}
+}
+
+func (t *Tracker) observeLatency(d time.Duration) {
+	for {
+		old := t.latency.Load()
+		next := old + (int64(d)-old)/latencyWeight
+		if old == 0 {
+			next = int64(d)
+		}
+		if t.latency.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Unreachable records a refused connection: the server has fallen.
+func (t *Tracker) Unreachable(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.backoff = min(max(2*t.backoff, firstBackoff), lastBackoff)
+	t.blockedUntil.Store(now.Add(t.backoff).UnixNano())
+	t.fall(1)
+}
+
+// Broke records a connection that broke under a request. One alone may be the
+// network's; a second one soon after counts as a fall.
+func (t *Tracker) Broke(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.resetAt) < resetWindow {
+		t.fall(1)
+	}
+	t.resetAt = now
+}
+
+// Refused records a refusal of the server.
+func (t *Tracker) Refused(now time.Time, r *upstream.Refusal) {
+	t.observeState(r.State())
+	switch r.Reason() {
+	case upstream.ReasonShed, upstream.ReasonConnectionLimit:
+		t.shed(now)
+	case upstream.ReasonDraining, upstream.ReasonStopping:
+		t.setDraining(true)
+	}
+}
+
+func (t *Tracker) shed(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cutAt = now
+	if t.known.Level < FullLevel {
+		t.fall(max(t.known.Level/2, 1))
+		return
+	}
+	t.cut.Store(min(t.cut.Load()+1, max(t.share.Load()-1, 0)))
+}
+
+// fall starts a new epoch at a low level. The caller holds mu. A server that is
+// already as low stays in its epoch, so that many failures of one fall do not
+// start many epochs.
+func (t *Tracker) fall(level int) {
+	t.successes = 0
+	t.levelAt = time.Now()
+	if t.known.Level <= level {
+		return
+	}
+	t.known.Epoch++
+	t.known.Sequence = 0
+	t.setLevel(level)
+}
+
+// setLevel changes the level. The caller holds mu.
+func (t *Tracker) setLevel(level int) {
+	t.known.Level = level
+	t.levelAt = time.Now()
+	t.successes = 0
+	t.dirty = true
+	t.computeShare()
+}
+
+func (t *Tracker) setDraining(draining bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known.Draining == draining {
+		return
+	}
+	t.known.Draining = draining
+	t.known.Sequence++
+	t.draining.Store(draining)
+	t.dirty = true
+	t.notify()
+}
+
+// observeState takes in what the server said of itself. A new instance means
+// that it restarted and may be cold.
+func (t *Tracker) observeState(s upstream.State) {
+	if s.Instance() == "" && s.Holdings() == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.Instance() != "" && s.Instance() != t.known.Instance {
+		restarted := t.known.Instance != ""
+		t.known.Instance = s.Instance()
+		t.known.Sequence++
+		t.dirty = true
+		if restarted {
+			t.fall(1)
+		}
+	}
+	if s.Holdings() != nil && !slices.Equal(s.Holdings(), t.known.Holdings) {
+		t.known.Holdings = slices.Clone(s.Holdings())
+		t.known.Sequence++
+		t.dirty = true
+		t.notify()
+	}
+	if s.Draining() != t.known.Draining {
+		t.known.Draining = s.Draining()
+		t.known.Sequence++
+		t.draining.Store(s.Draining())
+		t.dirty = true
+		t.notify()
+	}
+}
+
+// learn takes in the knowledge of another host.
+func (t *Tracker) learn(k Knowledge) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !k.newer(t.known) {
+		return false
+	}
+	rebuild := !slices.Equal(k.Holdings, t.known.Holdings) || k.Draining != t.known.Draining
+	t.known = k
+	t.draining.Store(k.Draining)
+	t.levelAt = time.Now()
+	t.successes = 0
+	t.dirty = true
+	t.computeShare()
+	if rebuild {
+		t.notify()
+	}
+	return true
+}
+
+// tick lets the level grow at the first host of the subset, and a share that
+// shedding cut regrow at every host.
+func (t *Tracker) tick(now time.Time) {
+	if t.cut.Load() > 0 {
+		t.mu.Lock()
+		if now.Sub(t.cutAt) >= shareRegrowth {
+			t.cut.Add(-1)
+			t.cutAt = now
+		}
+		t.mu.Unlock()
+	}
+	if !t.ramping.Load() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rank != 0 || !t.mayGrow(now) {
+		return
+	}
+	level := max(t.known.Level+1, t.known.Level*3/2)
+	if level >= t.hosts*t.perHost {
+		level = FullLevel
+	}
+	t.known.Sequence++
+	t.setLevel(level)
+}
+
+func (t *Tracker) mayGrow(now time.Time) bool {
+	if now.Sub(t.levelAt) < growInterval {
+		return false
+	}
+	if t.successes < max(growSuccesses, min(2*t.share64(), 20)) {
+		return false
+	}
+	typical := t.load.typical.Load()
+	return typical == 0 || t.latency.Load() <= slowFactor*typical
+}
+
+func (t *Tracker) share64() int { return int(t.share.Load()) }
--- /dev/null
+++ b/services/balance/view.go
@@ -0,0 +1,180 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/godwithatch/godwithatch/services/table"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+// View joins the configuration, the live hosts and what is known of the
+// servers. It is immutable; the trackers behind it are not.
+type View struct {
+	configuration *table.Configuration
+	pools         map[string]*PoolView
+}
+
+// Configuration returns the configuration of the view, or nil.
+func (v *View) Configuration() *table.Configuration {
+	if v == nil {
+		return nil
+	}
+	return v.configuration
+}
+
+// Pool returns the view of a pool, or nil.
+func (v *View) Pool(name string) *PoolView {
+	if v == nil {
+		return nil
+	}
+	return v.pools[name]
+}
+
+// PoolView is one pool of a View.
+type PoolView struct {
+	pool      *table.Pool
+	load      *PoolLoad
+	snapshots []*SnapshotView
+}
+
+// Load returns the load of the pool.
+func (p *PoolView) Load() *PoolLoad { return p.load }
+
+// Pool returns the row of the pool.
+func (p *PoolView) Pool() *table.Pool { return p.pool }
+
+// SnapshotView is one snapshot of a pool with the replicas of each shard.
+type SnapshotView struct {
+	version uint64
+	policy  Policy
+	load    *PoolLoad
+	shards  [][]*Replica
+	held    int
+	least   int
+}
+
+// Version returns the version of the snapshot.
+func (s *SnapshotView) Version() uint64 { return s.version }
+
+// Shards returns the number of shards of the snapshot.
+func (s *SnapshotView) Shards() int { return len(s.shards) }
+
+// Held returns how many shards have a server.
+func (s *SnapshotView) Held() int { return s.held }
+
+// Replicas returns the servers of a shard. The slice must not be modified.
+func (s *SnapshotView) Replicas(shard int) []*Replica { return s.shards[shard] }
+
+// IsComplete reports whether every shard has a server.
+func (s *SnapshotView) IsComplete() bool { return s.held == len(s.shards) }
+
+// Replica is one server of a shard.
+type Replica struct {
+	tracker *Tracker
+	hosts   []Host
+}
+
+// Tracker returns what this host knows of the server.
+func (r *Replica) Tracker() *Tracker { return r.tracker }
+
+// Build makes the View for a configuration and the live hosts, this one among
+// them.
+func (f *Fleet) Build(c *table.Configuration, hosts []Host) *View {
+	v := &View{configuration: c, pools: map[string]*PoolView{}}
+	if c.Generation() == 0 {
+		return v
+	}
+	f.forget(c.Tables)
+	for name, p := range c.Pools() {
+		v.pools[name] = f.buildPool(c.Tables, p, hosts)
+	}
+	return v
+}
+
+func (f *Fleet) buildPool(t *table.Tables, p *table.Pool, hosts []Host) *PoolView {
+	view := &PoolView{pool: p, load: f.load(p)}
+	byVersion := map[uint64]*SnapshotView{}
+	for _, u := range p.Upstreams() {
+		tracker := f.tracker(u, view.load)
+		order := f.order(u, hosts)
+		rank := slices.IndexFunc(order, func(h Host) bool { return h.id == f.self })
+		if rank < 0 {
+			rank = len(order)
+		}
+		perHost := max(p.Connections()/max(len(order), 1), 1)
+		tracker.place(rank, len(order), perHost, f.policy.Direct)
+		if !t.AcceptsWork(u) || tracker.draining.Load() {
+			continue
+		}
+		others := lo.Filter(order, func(h Host, _ int) bool { return h.id != f.self })
+		replica := &Replica{tracker: tracker, hosts: others}
+		for _, h := range tracker.Knowledge().Holdings {
+			f.addReplica(byVersion, view.load, h, replica)
+		}
+	}
+	view.snapshots = rankSnapshots(lo.Values(byVersion))
+	return view
+}
+
+// addReplica puts a server under the shard that it holds. Holdings that
+// contradict the number of shards of their snapshot are passed over.
+func (f *Fleet) addReplica(byVersion map[uint64]*SnapshotView, load *PoolLoad, h upstream.Holding, r *Replica) {
+	if h.Shards < 1 || h.Shard < 0 || h.Shard >= h.Shards {
+		return
+	}
+	s := byVersion[h.Snapshot]
+	if s == nil {
+		s = &SnapshotView{version: h.Snapshot, policy: f.policy, load: load, shards: make([][]*Replica, h.Shards)}
+		byVersion[h.Snapshot] = s
+	}
+	if len(s.shards) == h.Shards {
+		s.shards[h.Shard] = append(s.shards[h.Shard], r)
+	}
+}
+
+// rankSnapshots orders snapshots by preference. The newest one wins among those
+// whose scarcest shard has at least half as many servers as in the best
+// supplied one: a snapshot that just one replica of each shard holds would put
+// the load of all on it.
+func rankSnapshots(list []*SnapshotView) []*SnapshotView {
+	best := 0
+	for _, s := range list {
+		s.held = lo.CountBy(s.shards, func(r []*Replica) bool { return len(r) > 0 })
+		s.least = lo.Min(lo.Map(s.shards, func(r []*Replica, _ int) int { return len(r) }))
+		best = max(best, s.least)
+	}
+	slices.SortFunc(list, func(a, b *SnapshotView) int {
+		if c := cmp.Compare(b.grade(best), a.grade(best)); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.version, a.version)
+	})
+	return list
+}
+
+// grade orders snapshots before their version does: well supplied ones, then
+// complete ones, then by the number of shards held.
+func (s *SnapshotView) grade(best int) float64 {
+	switch {
+	case s.IsComplete() && 2*s.least >= best:
+		return 3
+	case s.IsComplete():
+		return 2
+	default:
+		return float64(s.held) / float64(len(s.shards))
+	}
+}
+
+// Snapshot returns the preferred snapshot whose version is not among the
+// excluded ones, or nil.
+func (p *PoolView) Snapshot(excluded ...uint64) *SnapshotView {
+	for _, s := range p.snapshots {
+		if !slices.Contains(excluded, s.version) {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/services/configuration/acceptor.go
@@ -0,0 +1,218 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/platform"
+	"github.com/godwithatch/godwithatch/services/table"
+)
+
+const (
+	// rankDelay is how much later an acceptor acts for each place behind the
+	// first, so that as a rule just one of them writes.
+	rankDelay = 700 * time.Millisecond
+	// inactive is the rank of a host that is no acceptor.
+	inactive = -1
+	// inactivePoll is how often such a host looks whether it has become one.
+	inactivePoll = time.Second
+)
+
+// Acceptor joins the tables in the store and writes the accepted object.
+type Acceptor struct {
+	Store  platform.Store
+	Keeper *Keeper
+	// Host names this host in what it writes.
+	Host string
+	// Rank returns the place of this host among the acceptors, from 0, or a
+	// negative number if it is none.
+	Rank func() int
+	// Report is told the problems of each pair of tables that was looked at.
+	Report func(Verdict)
+
+	mu       sync.Mutex
+	attempts uint64
+}
+
+// Verdict is the result of looking at a pair of tables.
+type Verdict struct {
+	RoutesVersion uint64         `json:"routes_version"`
+	PoolsVersion  uint64         `json:"pools_version"`
+	Generation    uint64         `json:"generation"`
+	Problems      table.Problems `json:"problems"`
+}
+
+// Run accepts until ctx ends.
+func (a *Acceptor) Run(ctx context.Context) {
+	changed := make(chan struct{}, 1)
+	go a.watch(ctx, RoutesObject, changed)
+	go a.watch(ctx, PoolsObject, changed)
+	var pause retry
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		for a.Rank() >= 0 {
+			sleep(ctx, time.Duration(a.Rank())*rankDelay)
+			if _, err := a.Accept(ctx); err == nil {
+				pause.reset()
+				break
+			}
+			if !pause.wait(ctx) {
+				return
+			}
+		}
+	}
+}
+
+// watch signals every change of a table while this host is an acceptor.
+func (a *Acceptor) watch(ctx context.Context, name string, changed chan<- struct{}) {
+	var pause retry
+	var version uint64
+	for ctx.Err() == nil {
+		if a.Rank() == inactive {
+			sleep(ctx, inactivePoll)
+			version = 0
+			continue
+		}
+		object, err := a.Store.Watch(ctx, name, version, watchWait)
+		if err != nil {
+			pause.wait(ctx)
+			continue
+		}
+		pause.reset()
+		version = object.Version()
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Accept looks at the present pair of tables once and accepts it if it is new
+// and sound. An error means that the store could not tell; nothing is lost and
+// the call may be repeated.
+func (a *Acceptor) Accept(ctx context.Context) (Verdict, error) {
+	accepted, err := a.Store.Get(ctx, AcceptedObject)
+	if err != nil && !fault.Is(err, fault.ObjectNotFound) {
+		return Verdict{}, err
+	}
+	var source table.Source
+	if err == nil {
+		if _, source, err = table.Decode(accepted.Value()); err != nil {
+			return Verdict{}, err
+		}
+		_, _ = a.Keeper.Offer(accepted.Value(), "store")
+	}
+	routes, pools, err := a.tables(ctx)
+	if err != nil {
+		return Verdict{}, err
+	}
+	verdict := Verdict{RoutesVersion: routes.Version(), PoolsVersion: pools.Version(), Generation: a.Keeper.Generation()}
+	if source.RoutesVersion() == routes.Version() && source.PoolsVersion() == pools.Version() {
+		a.report(verdict)
+		return verdict, nil
+	}
+	if routes.Version() < source.RoutesVersion() || pools.Version() < source.PoolsVersion() {
+		return verdict, fault.New(fault.VersionConflict, fault.NotRun, "the tables are older than those accepted")
+	}
+	if _, problems := table.Join(routes.Value(), pools.Value()); len(problems) > 0 {
+		verdict.Problems = problems
+		a.report(verdict)
+		return verdict, nil
+	}
+	return a.write(ctx, verdict, accepted.Version(), routes, pools)
+}
+
+func (a *Acceptor) tables(ctx context.Context) (platform.Object, platform.Object, error) {
+	routes, err := a.Store.Get(ctx, RoutesObject)
+	if err != nil {
+		return platform.Object{}, platform.Object{}, err
+	}
+	pools, err := a.Store.Get(ctx, PoolsObject)
+	return routes, pools, err
+}
+
+// write puts the accepted object. After an unknown outcome it reads the object
+// back: the nonce tells whether it is the one of this attempt.
+func (a *Acceptor) write(ctx context.Context, verdict Verdict, version uint64, routes, pools platform.Object) (Verdict, error) {
+	nonce := a.nonce()
+	source := table.NewSource(routes.Version(), pools.Version(), a.Host, nonce)
+	document, err := table.Encode(a.Keeper.Generation()+1, source, routes.Value(), pools.Value())
+	if err != nil {
+		return verdict, fault.Wrap(fault.Internal, fault.NotRun, err, "the accepted object cannot be encoded")
+	}
+	if len(document) > platform.MaxValue {
+		verdict.Problems = table.Problems{{
+			Table: "accepted", Row: "-", Field: "-",
+			Message: "both tables together have " + strconv.Itoa(len(document)) + " bytes, more than an object may have",
+		}}
+		a.report(verdict)
+		return verdict, nil
+	}
+	if _, err = a.Store.Put(ctx, AcceptedObject, document, version); err != nil {
+		if err = a.readBack(ctx, nonce, err); err != nil {
+			return verdict, err
+		}
+	}
+	if _, err = a.Keeper.Offer(document, "accepted here"); err != nil {
+		return verdict, err
+	}
+	verdict.Generation = a.Keeper.Generation()
+	a.report(verdict)
+	return verdict, nil
+}
+
+func (a *Acceptor) readBack(ctx context.Context, nonce string, cause error) error {
+	if fault.From(cause).Outcome() == fault.NotRun {
+		return cause
+	}
+	object, err := a.Store.Get(ctx, AcceptedObject)
+	if err != nil {
+		return err
+	}
+	_, source, err := table.Decode(object.Value())
+	if err != nil {
+		return err
+	}
+	if source.Nonce() != nonce {
+		return cause
+	}
+	return nil
+}
+
+func (a *Acceptor) nonce() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attempts++
+	return a.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(a.attempts, 36)
+}
+
+func (a *Acceptor) report(v Verdict) {
+	if a.Report != nil {
+		a.Report(v)
+	}
+}
+
+// PutStatus writes the status object unless it already says the same.
+func PutStatus(ctx context.Context, store platform.Store, status any) error {
+	document, err := json.Marshal(status)
+	if err != nil {
+		return fault.Wrap(fault.Internal, fault.NotRun, err, "the status cannot be encoded")
+	}
+	old, err := store.Get(ctx, StatusObject)
+	if err != nil && !fault.Is(err, fault.ObjectNotFound) {
+		return err
+	}
+	if string(old.Value()) == string(document) {
+		return nil
+	}
+	_, err = store.Put(ctx, StatusObject, document, old.Version())
+	return err
+}
--- /dev/null
+++ b/services/daemon/daemon.go
@@ -0,0 +1,230 @@
+// Package daemon puts the parts of one process together and runs them.
+//
+// # Usage
+//
+//	d, err := daemon.New(cfg, log)
+//	err = d.Run(ctx)
+//
+// Run serves until ctx ends, then stops gracefully: the daemon turns not ready,
+// waits for the balancer to notice, leaves the subsets, finishes what is in
+// flight and returns. The parts share state through the sections of a
+// blackboard; each section has one writer, and no controller calls another.
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+
+	"github.com/godwithatch/godwithatch/modules/blackboard"
+	"github.com/godwithatch/godwithatch/modules/broadcast"
+	"github.com/godwithatch/godwithatch/modules/setting"
+	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/configuration"
+	"github.com/godwithatch/godwithatch/services/membership"
+	"github.com/godwithatch/godwithatch/services/peer"
+	"github.com/godwithatch/godwithatch/services/platform"
+	"github.com/godwithatch/godwithatch/services/query"
+	"github.com/godwithatch/godwithatch/services/table"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	cfg   *setting.Settings
+	log   zerolog.Logger
+	boot  uint64
+	board blackboard.Board
+	view  blackboard.Section[*balance.View]
+
+	keeper    configuration.Keeper
+	verdict   blackboard.Section[configuration.Verdict]
+	hostList  blackboard.Section[[]membership.Member]
+	knowledge broadcast.Queue[string, balance.Knowledge]
+	suspects  broadcast.Queue[uint64, query.Suspect]
+
+	store     platform.Store
+	upstreams *upstream.Client
+	members   *membership.Membership
+	transport *peer.Transport
+	fleet     *balance.Fleet
+	engine    *query.Engine
+	registry  *prometheus.Registry
+
+	stopping  atomic.Bool
+	forwards  atomic.Int64
+	fetching  atomic.Bool
+	drained   atomic.Bool
+	lastReady atomic.Bool
+	wg        sync.WaitGroup
+}
+
+// New makes a Daemon and opens its listener for peers.
+func New(cfg *setting.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, log: log, boot: uint64(time.Now().UnixMilli()), registry: prometheus.NewRegistry()}
+	injector := do.New()
+	do.ProvideValue(injector, d)
+	do.Provide(injector, provideStore)
+	do.Provide(injector, provideUpstreams)
+	do.Provide(injector, provideFleet)
+	do.Provide(injector, provideMembership)
+	do.Provide(injector, provideEngine)
+	do.Provide(injector, provideTransport)
+	if err := d.resolve(injector); err != nil {
+		return nil, err
+	}
+	d.describe()
+	d.registerMetrics()
+	return d, nil
+}
+
+// resolve takes the parts out of the injector. The transport comes last, since
+// it begins to answer peers at once.
+func (d *Daemon) resolve(injector do.Injector) error {
+	var err error
+	d.store = do.MustInvoke[platform.Store](injector)
+	d.upstreams = do.MustInvoke[*upstream.Client](injector)
+	d.fleet = do.MustInvoke[*balance.Fleet](injector)
+	d.members = do.MustInvoke[*membership.Membership](injector)
+	d.engine = do.MustInvoke[*query.Engine](injector)
+	d.transport, err = do.Invoke[*peer.Transport](injector)
+	return err
+}
+
+func provideStore(i do.Injector) (platform.Store, error) {
+	d := do.MustInvoke[*Daemon](i)
+	return platform.NewClient(d.cfg.Platform().Address(), d.cfg.Platform().Timeout()), nil
+}
+
+func provideUpstreams(i do.Injector) (*upstream.Client, error) {
+	return upstream.NewClient(do.MustInvoke[*Daemon](i).cfg.Balance().Silence()), nil
+}
+
+func provideFleet(i do.Injector) (*balance.Fleet, error) {
+	cfg := do.MustInvoke[*Daemon](i).cfg
+	return balance.NewFleet(cfg.Host(), cfg.DataCentre(), balance.Policy{
+		Subset:     cfg.Balance().Subset(),
+		HedgeShare: cfg.Balance().HedgeShare(),
+		HedgeBurst: cfg.Balance().HedgeBurst(),
+	}), nil
+}
+
+func provideMembership(i do.Injector) (*membership.Membership, error) {
+	d := do.MustInvoke[*Daemon](i)
+	self := membership.Member{
+		ID:          d.cfg.Host(),
+		Address:     d.cfg.Peer().Listen(),
+		DataCentre:  d.cfg.DataCentre(),
+		Incarnation: d.boot,
+	}
+	return membership.New(self, prober{d}, membership.Options{Heartbeat: d.cfg.Peer().Heartbeat()}), nil
+}
+
+func provideEngine(i do.Injector) (*query.Engine, error) {
+	d := do.MustInvoke[*Daemon](i)
+	return query.NewEngine(query.Options{
+		Host:        d.cfg.Host(),
+		Incarnation: strconv.FormatUint(d.boot, 36),
+		View:        &d.view,
+		Fleet:       do.MustInvoke[*balance.Fleet](i),
+		Server:      do.MustInvoke[*upstream.Client](i),
+		Forwarder:   forwarder{d},
+		MaxInFlight: d.cfg.Caller().MaxInFlight(),
+	}), nil
+}
+
+func provideTransport(i do.Injector) (*peer.Transport, error) {
+	d := do.MustInvoke[*Daemon](i)
+	keys, err := peer.LoadKeys(d.cfg.Peer().CA(), d.cfg.Peer().Cert(), d.cfg.Peer().Key())
+	if err != nil {
+		return nil, err
+	}
+	return peer.Listen(d.cfg.Peer().Listen(), keys, &handler{d})
+}
+
+// describe names the sections of the state dump.
+func (d *Daemon) describe() {
+	blackboard.Add(&d.board, "configuration", d.keeper.Section())
+	blackboard.Add(&d.board, "hosts", d.members.Live())
+	blackboard.Add(&d.board, "host_list", &d.hostList)
+	blackboard.Add(&d.board, "verdict", &d.verdict)
+	d.board.AddComputed("members", func() any { return d.members.Members() })
+	d.board.AddComputed("servers", func() any { return d.serverStates() })
+	d.board.AddComputed("ready", func() any { return d.Readiness() })
+}
+
+// Engine returns the engine that runs queries.
+func (d *Daemon) Engine() *query.Engine { return d.engine }
+
+// Route returns the row of a route, and false if no configuration is in force.
+func (d *Daemon) Route(name string) (*table.Route, bool) {
+	c := d.keeper.Section().Load()
+	if c.Generation() == 0 {
+		return nil, false
+	}
+	return c.Route(name), true
+}
+
+// Registry returns the metrics.
+func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+
+// Dump returns the state of every section of the blackboard.
+func (d *Daemon) Dump() []blackboard.State { return d.board.Dump() }
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context, callers, operators Listener) error {
+	controllers, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go d.transport.Serve()
+	d.startControllers(controllers)
+	failed := make(chan error, 2)
+	go func() { failed <- callers.Serve() }()
+	go func() { failed <- operators.Serve() }()
+	d.log.Info().Str("caller", d.cfg.Caller().Listen()).Str("operator", d.cfg.Operator().Listen()).Msg("daemon started")
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		d.stopGracefully(callers)
+	}
+	stop()
+	d.wg.Wait()
+	_ = operators.Shutdown(context.Background())
+	_ = d.transport.Close()
+	d.log.Info().Msg("daemon stopped")
+	return err
+}
+
+// Listener is an HTTP listener, as Run uses it.
+type Listener interface {
+	// Serve answers requests until Shutdown.
+	Serve() error
+	// Shutdown takes no new requests and waits for those in flight.
+	Shutdown(ctx context.Context) error
+}
+
+const forwardPoll = 20 * time.Millisecond
+
+// stopGracefully finishes all work before the process ends. New requests still
+// arrive until the balancer has noticed, and are served.
+func (d *Daemon) stopGracefully(callers Listener) {
+	d.stopping.Store(true)
+	d.log.Info().Str("state", "stopping").Msg("state changed")
+	time.Sleep(d.cfg.Caller().DrainDelay())
+	d.members.Leave()
+	d.announce(context.Background())
+	limit, cancel := context.WithTimeout(context.Background(), d.cfg.Caller().MaxTimeout())
+	defer cancel()
+	_ = callers.Shutdown(limit)
+	// Peers take a heartbeat or two to learn of the leave.
+	time.Sleep(2 * d.cfg.Peer().Heartbeat())
+	for d.forwards.Load() > 0 && limit.Err() == nil {
+		time.Sleep(forwardPoll)
+	}
+}
--- /dev/null
+++ b/services/daemon/handler.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/membership"
+	"github.com/godwithatch/godwithatch/services/peer"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+const (
+	maxKnowledge = 64
+	maxSuspects  = 32
+	// fetchTimeout bounds the transfer of a configuration between hosts.
+	fetchTimeout = 5 * time.Second
+)
+
+// prober reaches other hosts for the membership.
+type prober struct{ d *Daemon }
+
+// Probe implements membership.Prober.
+func (p prober) Probe(ctx context.Context, target membership.Member) error {
+	return p.d.exchange(ctx, target)
+}
+
+// ProbeVia implements membership.Prober.
+func (p prober) ProbeVia(ctx context.Context, via, target membership.Member) error {
+	return p.d.transport.Probe(ctx, via, target)
+}
+
+// forwarder passes calls to other hosts for the engine.
+type forwarder struct{ d *Daemon }
+
+// Forward implements query.Forwarder.
+func (f forwarder) Forward(ctx context.Context, host, server string, call upstream.Call) (*upstream.Answer, error) {
+	m, ok := f.d.members.Find(host)
+	if !ok {
+		return nil, fault.New(fault.PeerFailed, fault.NotRun, "host %q is not known", host)
+	}
+	return f.d.transport.Forward(ctx, m, server, call)
+}
+
+// news returns what this host tells a peer.
+func (d *Daemon) news() peer.Exchange {
+	hosts := len(d.members.Live().Load())
+	return peer.Exchange{
+		From:       d.members.Self(),
+		Members:    d.members.Updates(),
+		Generation: d.keeper.Generation(),
+		Knowledge:  d.knowledge.Take(maxKnowledge, hosts),
+		Suspects:   d.suspects.Take(maxSuspects, hosts),
+	}
+}
+
+// exchange gives news to a peer and takes in its own.
+func (d *Daemon) exchange(ctx context.Context, to membership.Member) error {
+	first := !d.members.IsSettled()
+	reply, err := d.transport.Exchange(ctx, to, d.news())
+	if err != nil {
+		return err
+	}
+	d.learn(reply)
+	if first {
+		d.catchUp(ctx, to)
+	}
+	return nil
+}
+
+// catchUp takes in all that a peer knows, after a start or a pause.
+func (d *Daemon) catchUp(ctx context.Context, from membership.Member) {
+	all, err := d.transport.Knowledge(ctx, from)
+	if err == nil {
+		d.learn(all)
+	}
+}
+
+// learn takes in the news of a peer.
+func (d *Daemon) learn(news peer.Exchange) {
+	if news.From.ID == "" {
+		return
+	}
+	d.members.Heard(news.From, news.Members)
+	for _, k := range news.Knowledge {
+		d.fleet.Learn(k)
+	}
+	for _, s := range news.Suspects {
+		if d.engine.Quarantine().Learn(s) {
+			d.suspects.Put(s.Fingerprint, s)
+		}
+	}
+	if news.Generation > d.keeper.Generation() {
+		d.fetchConfiguration(news.From)
+	}
+}
+
+// fetchConfiguration takes a newer configuration from a peer, one transfer at a
+// time.
+func (d *Daemon) fetchConfiguration(from membership.Member) {
+	if d.fetching.Swap(true) {
+		return
+	}
+	go func() {
+		defer d.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		document, err := d.transport.Configuration(ctx, from)
+		if err == nil && document != nil {
+			_, _ = d.keeper.Offer(document, "peer "+from.ID)
+		}
+	}()
+}
+
+// handler answers peers.
+type handler struct{ d *Daemon }
+
+// OnExchange implements peer.Handler.
+func (h *handler) OnExchange(_ context.Context, _ string, news peer.Exchange) peer.Exchange {
+	h.d.learn(news)
+	reply := h.d.news()
+	// A host that others believe dead must hear of it to refute it.
+	if m, ok := h.d.members.Find(news.From.ID); ok && m.State != membership.Alive {
+		reply.Members = append(reply.Members, m)
+	}
+	return reply
+}
+
+// OnProbe implements peer.Handler.
+func (h *handler) OnProbe(ctx context.Context, target membership.Member) error {
+	return h.d.exchange(ctx, target)
+}
+
+// OnForward implements peer.Handler.
+func (h *handler) OnForward(ctx context.Context, server string, call upstream.Call) (*upstream.Answer, error) {
+	h.d.forwards.Add(1)
+	defer h.d.forwards.Add(-1)
+	return h.d.engine.Serve(ctx, server, call)
+}
+
+// OnConfiguration implements peer.Handler.
+func (h *handler) OnConfiguration() []byte {
+	c := h.d.keeper.Section().Load()
+	if c.Generation() == 0 {
+		return nil
+	}
+	return c.Document()
+}
+
+// OnKnowledge implements peer.Handler.
+func (h *handler) OnKnowledge() peer.Exchange {
+	all := peer.Exchange{From: h.d.members.Self(), Members: h.d.members.All(), Generation: h.d.keeper.Generation()}
+	for _, t := range h.d.fleet.Trackers() {
+		all.Knowledge = append(all.Knowledge, t.Knowledge())
+	}
+	return all
+}
+
+// OnResult implements peer.Handler.
+func (h *handler) OnResult(string) []byte { return nil }
--- /dev/null
+++ b/services/daemon/status.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/configuration"
+)
+
+// Readiness says whether the balancer should send requests to this host.
+type Readiness struct {
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons,omitempty"`
+}
+
+// Readiness returns whether this host should get requests and why not.
+func (d *Daemon) Readiness() Readiness {
+	var reasons []string
+	add := func(condition bool, reason string) {
+		if condition {
+			reasons = append(reasons, reason)
+		}
+	}
+	add(d.stopping.Load(), "stopping")
+	add(d.keeper.Generation() == 0, "no configuration yet")
+	add(d.drained.Load(), "the data centre is drained")
+	add(!d.members.IsSettled(), "no peer has answered since the start or a pause")
+	add(d.members.Clashes() > 0, "another host uses this identity")
+	return Readiness{Ready: len(reasons) == 0, Reasons: reasons}
+}
+
+// Status is what operators read of one host.
+type Status struct {
+	Host       string                `json:"host"`
+	DataCentre string                `json:"data_centre"`
+	Readiness  Readiness             `json:"readiness"`
+	Generation uint64                `json:"generation"`
+	Hosts      []string              `json:"hosts"`
+	Tables     configuration.Verdict `json:"tables"`
+	InFlight   int                   `json:"in_flight"`
+	Snapshots  map[string]uint64     `json:"snapshots"`
+}
+
+// Status returns the status of this host.
+func (d *Daemon) Status() Status {
+	return Status{
+		Host:       d.cfg.Host(),
+		DataCentre: d.cfg.DataCentre(),
+		Readiness:  d.Readiness(),
+		Generation: d.keeper.Generation(),
+		Hosts:      sortedIDs(d.members.Live().Load()),
+		Tables:     d.verdict.Load(),
+		InFlight:   d.engine.InFlight(),
+		Snapshots:  d.snapshots(),
+	}
+}
+
+// snapshots returns the snapshot that each pool would be asked for.
+func (d *Daemon) snapshots() map[string]uint64 {
+	versions := map[string]uint64{}
+	view := d.view.Load()
+	if view.Configuration() == nil {
+		return versions
+	}
+	for name := range view.Configuration().Pools() {
+		if s := view.Pool(name).Snapshot(); s != nil {
+			versions[name] = s.Version()
+		}
+	}
+	return versions
+}
+
+// statusObject is the status of the deployment as the store holds it.
+func (d *Daemon) statusObject() any {
+	return struct {
+		Generation uint64                `json:"generation"`
+		Tables     configuration.Verdict `json:"tables"`
+		Hosts      []string              `json:"hosts"`
+	}{d.keeper.Generation(), d.verdict.Load(), sortedIDs(d.members.Live().Load())}
+}
+
+type serverState struct {
+	balance.Knowledge
+	InFlight  int     `json:"in_flight"`
+	Share     int     `json:"share"`
+	Rank      int     `json:"rank"`
+	LatencyMS float64 `json:"latency_ms"`
+}
+
+func (d *Daemon) serverStates() []serverState {
+	var list []serverState
+	for _, t := range d.fleet.Trackers() {
+		list = append(list, serverState{t.Knowledge(), t.InFlight(), t.Share(), t.Rank(), float64(t.Latency().Microseconds()) / 1000})
+	}
+	slices.SortFunc(list, func(a, b serverState) int { return cmp.Compare(a.Server, b.Server) })
+	return list
+}
+
+// registerMetrics exposes the counters.
+func (d *Daemon) registerMetrics() {
+	counter := func(name, help string, read func() int64) {
+		d.registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "godwithatch", Name: name, Help: help},
+			func() float64 { return float64(read()) },
+		))
+	}
+	gauge := func(name, help string, read func() float64) {
+		d.registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Namespace: "godwithatch", Name: name, Help: help}, read,
+		))
+	}
+	c := d.engine.Counters()
+	counter("queries_total", "Queries that arrived.", c.Queries.Load)
+	counter("answers_total", "Queries with a complete answer.", c.Answered.Load)
+	counter("partial_answers_total", "Queries with a partial answer.", c.Partial.Load)
+	counter("refusals_total", "Queries refused and proved not run.", c.Refused.Load)
+	counter("failures_total", "Queries that ended with an unknown outcome.", c.Failed.Load)
+	counter("restarts_total", "Queries restarted on another snapshot or pool.", c.Restarts.Load)
+	counter("attempts_total", "Requests sent towards servers.", c.Attempts.Load)
+	counter("hedges_total", "Backup requests.", c.Hedges.Load)
+	counter("probes_total", "Copies sent to slow or limited servers.", c.Probes.Load)
+	counter("retries_total", "Requests sent again after a failure.", c.Retries.Load)
+	counter("hops_total", "Requests passed to another host.", c.Hops.Load)
+	counter("quarantined_total", "Queries refused since their like crashed servers.", c.Quarantined.Load)
+	t := d.transport.Counters()
+	counter("peer_requests_total", "Requests to other hosts.", t.Requests.Load)
+	counter("peer_served_total", "Requests of other hosts.", t.Served.Load)
+	counter("peer_failures_total", "Requests to other hosts that failed.", t.Failures.Load)
+	counter("peer_sent_bytes_total", "Message bytes sent to other hosts.", t.BytesOut.Load)
+	counter("peer_received_bytes_total", "Message bytes received from other hosts.", t.BytesIn.Load)
+	counter("pauses_total", "Times that this process found it had been paused.", d.members.Pauses)
+	gauge("generation", "Generation of the configuration in force.", func() float64 { return float64(d.keeper.Generation()) })
+	gauge("hosts", "Live hosts of the system.", func() float64 { return float64(len(d.members.Live().Load())) })
+	gauge("in_flight", "Queries in flight.", func() float64 { return float64(d.engine.InFlight()) })
+}
--- /dev/null
+++ b/services/peer/peer.go
@@ -0,0 +1,86 @@
+// Package peer speaks to the system's other processes: QUIC with mutual TLS,
+// CBOR messages, one stream a request.
+//
+// # Usage
+//
+// A Transport listens on one UDP address and dials from it. What arrives goes
+// to a Handler:
+//
+//	t, err := peer.Listen("127.1.0.1:8082", keys, handler)
+//	go t.Serve()
+//	reply, err := t.Exchange(ctx, member, message)
+//	answer, err := t.Forward(ctx, member, server, call)
+//
+// A request that could not be handed to a connection is proved not to have run;
+// one whose answer is lost is of unknown outcome. The identity of a host is the
+// common name of its certificate, and a message in the name of another host is
+// refused.
+package peer
+
+import (
+	"context"
+
+	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/membership"
+	"github.com/godwithatch/godwithatch/services/query"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+// Kind is the kind of a request between hosts.
+type Kind int
+
+// The kinds of requests.
+const (
+	KindExchange Kind = iota + 1
+	KindProbe
+	KindForward
+	KindConfiguration
+	KindKnowledge
+	KindResult
+)
+
+//go:generate ../../.bin/enumer -type=Kind -trimprefix=Kind -transform=snake -output=kind_enumer.go
+
+// Exchange is the news that two hosts give each other at every probe.
+type Exchange struct {
+	From       membership.Member   `cbor:"1,keyasint"`
+	Members    []membership.Member `cbor:"2,keyasint,omitempty"`
+	Generation uint64              `cbor:"3,keyasint"`
+	Knowledge  []balance.Knowledge `cbor:"4,keyasint,omitempty"`
+	Suspects   []query.Suspect     `cbor:"5,keyasint,omitempty"`
+	Evidence   []Evidence          `cbor:"6,keyasint,omitempty"`
+	Stops      []Stop              `cbor:"7,keyasint,omitempty"`
+}
+
+// Evidence is what one host counted for one move on one route, since the start
+// of its process.
+type Evidence struct {
+	Host   string     `cbor:"1,keyasint"`
+	Boot   uint64     `cbor:"2,keyasint"`
+	Move   string     `cbor:"3,keyasint"`
+	Route  string     `cbor:"4,keyasint"`
+	Counts [12]uint64 `cbor:"5,keyasint"`
+}
+
+// Stop marks a move as taken back. The set of stops only grows.
+type Stop struct {
+	Move   string `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint"`
+	Host   string `cbor:"3,keyasint"`
+}
+
+// Handler answers requests of other hosts.
+type Handler interface {
+	// OnExchange takes in news and returns this host's.
+	OnExchange(ctx context.Context, from string, news Exchange) Exchange
+	// OnProbe probes a host for another one.
+	OnProbe(ctx context.Context, target membership.Member) error
+	// OnForward runs a call on a server.
+	OnForward(ctx context.Context, server string, call upstream.Call) (*upstream.Answer, error)
+	// OnConfiguration returns the accepted object, or nil.
+	OnConfiguration() []byte
+	// OnKnowledge returns what this host knows of all servers and all hosts.
+	OnKnowledge() Exchange
+	// OnResult returns the kept answer to a key, or nil.
+	OnResult(key string) []byte
+}
--- /dev/null
+++ b/services/platform/client.go
@@ -0,0 +1,172 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/godwithatch/godwithatch/modules/fault"
+)
+
+// MaxValue is the largest value of an object in bytes.
+const MaxValue = 1 << 20
+
+const versionHeader = "Object-Version"
+
+// Client is a Store over HTTP.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a Client for the object API at an IP address and port. Each
+// call takes at most timeout, beyond the wait of a watch.
+func NewClient(address string, timeout time.Duration) *Client {
+	// A connection that went silent must not serve the next call, so idle ones
+	// are kept only briefly.
+	transport := &http.Transport{IdleConnTimeout: 5 * time.Second, MaxIdleConnsPerHost: 8}
+	return &Client{
+		base:    "http://" + address,
+		timeout: timeout,
+		http:    &http.Client{Transport: transport},
+	}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, name string) (Object, error) {
+	return c.read(ctx, name, "", c.timeout)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, name string, version uint64, wait time.Duration) (Object, error) {
+	query := fmt.Sprintf("?after=%d&wait_ms=%d", version, wait.Milliseconds())
+	return c.read(ctx, name, query, c.timeout+wait)
+}
+
+func (c *Client) read(ctx context.Context, name, query string, timeout time.Duration) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, body, err := c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name)+query, nil, 0)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := versionOf(resp)
+	if err != nil {
+		return Object{}, err
+	}
+	return NewObject(name, version, body), nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, body, err := c.call(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(prefix), nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	var rows []struct {
+		Name    string `json:"name"`
+		Version uint64 `json:"version"`
+		Value   []byte `json:"value"`
+	}
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return nil, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "the list of objects cannot be read")
+	}
+	objects := make([]Object, len(rows))
+	for i, r := range rows {
+		objects[i] = NewObject(r.Name, r.Version, r.Value)
+	}
+	return objects, nil
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, name string, value []byte, version uint64) (uint64, error) {
+	if len(value) > MaxValue {
+		return 0, fault.New(fault.ObjectTooLarge, fault.NotRun, "object %q has %d bytes, the limit is %d", name, len(value), MaxValue)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, _, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), value, version)
+	if err != nil {
+		return 0, err
+	}
+	return versionOf(resp)
+}
+
+// Hosts implements Store.
+func (c *Client) Hosts(ctx context.Context) ([]HostEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, body, err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	type row struct {
+		ID         string `json:"id"`
+		Address    string `json:"address"`
+		DataCentre string `json:"data_centre"`
+		Leaving    bool   `json:"leaving"`
+	}
+	var rows []row
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return nil, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "the list of hosts cannot be read")
+	}
+	return lo.Map(rows, func(r row, _ int) HostEntry {
+		return NewHostEntry(r.ID, r.Address, r.DataCentre, r.Leaving)
+	}), nil
+}
+
+// call sends one request and reads its whole answer.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, version uint64) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, fault.Wrap(fault.Internal, fault.NotRun, err, "request to the store cannot be made")
+	}
+	if method == http.MethodPut {
+		req.Header.Set("If-Match", strconv.FormatUint(version, 10))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.http.CloseIdleConnections()
+		return nil, nil, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "no answer from the store")
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(resp.Body, 256*MaxValue))
+	if err != nil {
+		return nil, nil, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "the answer of the store broke off")
+	}
+	return resp, content, statusFault(resp.StatusCode, path)
+}
+
+func statusFault(status int, path string) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return fault.New(fault.ObjectNotFound, fault.NotRun, "there is no object at %s", path)
+	case http.StatusPreconditionFailed:
+		return fault.New(fault.VersionConflict, fault.NotRun, "the object at %s has another version", path)
+	case http.StatusRequestEntityTooLarge:
+		return fault.New(fault.ObjectTooLarge, fault.NotRun, "the store refused the size of %s", path)
+	default:
+		return fault.New(fault.StoreUnavailable, fault.Unknown, "the store answered %d for %s", status, path)
+	}
+}
+
+func versionOf(resp *http.Response) (uint64, error) {
+	v, err := strconv.ParseUint(resp.Header.Get(versionHeader), 10, 64)
+	if err != nil {
+		return 0, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "the store sent no version")
+	}
+	return v, nil
+}
--- /dev/null
+++ b/services/query/engine.go
@@ -0,0 +1,259 @@
+package query
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/table"
+)
+
+const (
+	// maxRestarts bounds how often a query restarts on another snapshot or pool.
+	maxRestarts = 3
+	// returnShare is the part of a request's time that is kept for the way back.
+	returnShare = 20
+	// maxReturn bounds the time kept for the way back.
+	maxReturn = 5 * time.Millisecond
+)
+
+// Counters count what the engine did since it started.
+type Counters struct {
+	Queries     atomic.Int64
+	Answered    atomic.Int64
+	Partial     atomic.Int64
+	Refused     atomic.Int64
+	Failed      atomic.Int64
+	Restarts    atomic.Int64
+	Attempts    atomic.Int64
+	Hedges      atomic.Int64
+	Probes      atomic.Int64
+	Retries     atomic.Int64
+	Hops        atomic.Int64
+	Quarantined atomic.Int64
+}
+
+// Engine runs queries. It is safe for concurrent use.
+type Engine struct {
+	opts       Options
+	prefix     string
+	sequence   atomic.Uint64
+	inFlight   atomic.Int64
+	counters   Counters
+	quarantine Quarantine
+}
+
+// NewEngine returns an Engine. A missing Claimer refuses keys; a missing
+// Director sends each route to its own pool.
+func NewEngine(opts Options) *Engine {
+	if opts.Claimer == nil {
+		opts.Claimer = noClaimer{}
+	}
+	if opts.Director == nil {
+		opts.Director = fixedDirector{}
+	}
+	if opts.MaxInFlight == 0 {
+		opts.MaxInFlight = 1 << 20
+	}
+	return &Engine{opts: opts, prefix: opts.Host + "/" + opts.Incarnation + "/"}
+}
+
+// Counters returns the counters of the engine.
+func (e *Engine) Counters() *Counters { return &e.counters }
+
+// Quarantine returns the requests suspected of crashing servers.
+func (e *Engine) Quarantine() *Quarantine { return &e.quarantine }
+
+// InFlight returns how many queries run.
+func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
+
+func (e *Engine) nextAttempt() string {
+	return e.prefix + strconv.FormatUint(e.sequence.Add(1), 36)
+}
+
+// Run answers one query or returns a fault.
+func (e *Engine) Run(ctx context.Context, req Request) (*Result, error) {
+	e.counters.Queries.Add(1)
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	result, err := e.run(ctx, req)
+	e.count(result, err)
+	return result, err
+}
+
+func (e *Engine) count(result *Result, err error) {
+	switch {
+	case err != nil && fault.From(err).Outcome() == fault.NotRun:
+		e.counters.Refused.Add(1)
+	case err != nil:
+		e.counters.Failed.Add(1)
+	case len(result.missing) > 0:
+		e.counters.Partial.Add(1)
+	default:
+		e.counters.Answered.Add(1)
+	}
+}
+
+func (e *Engine) run(ctx context.Context, req Request) (*Result, error) {
+	view := e.opts.View.Load()
+	if view.Configuration().Generation() == 0 {
+		return nil, fault.New(fault.NotReady, fault.NotRun, "this host has no configuration yet")
+	}
+	route := view.Configuration().Route(req.route)
+	if route == nil {
+		return nil, fault.New(fault.UnknownRoute, fault.NotRun, "route %q is not in generation %d", req.route, view.Configuration().Generation())
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	if route.Idempotent() {
+		return e.runIdempotent(ctx, req, route)
+	}
+	return e.runKeyed(ctx, req, route)
+}
+
+func (e *Engine) runIdempotent(ctx context.Context, req Request, route *table.Route) (*Result, error) {
+	if err := e.admit(req, route); err != nil {
+		return nil, err
+	}
+	if e.quarantine.IsHeld(req.fingerprint()) {
+		e.counters.Quarantined.Add(1)
+		return nil, fault.New(fault.RequestQuarantined, fault.NotRun, "requests like this one crashed servers a short time ago")
+	}
+	return e.runOnPools(ctx, req, route)
+}
+
+// runKeyed claims the key before anything else: a refusal that says "not run"
+// would be untrue if an earlier copy of the request ran through another host.
+func (e *Engine) runKeyed(ctx context.Context, req Request, route *table.Route) (*Result, error) {
+	if req.key == "" {
+		return nil, fault.New(fault.KeyRequired, fault.NotRun, "route %q needs an Idempotency-Key", req.route)
+	}
+	claim, err := e.opts.Claimer.Claim(ctx, req.key, req.fingerprint())
+	if err != nil {
+		return nil, err
+	}
+	if earlier := claim.Earlier(); earlier != nil {
+		return earlier, nil
+	}
+	result, err := e.runClaimed(ctx, req, route)
+	switch {
+	case err == nil:
+		claim.Done(result)
+	case fault.From(err).Outcome() == fault.NotRun:
+		claim.NotRun(ctx)
+	default:
+		claim.Unknown()
+	}
+	return result, err
+}
+
+func (e *Engine) runClaimed(ctx context.Context, req Request, route *table.Route) (*Result, error) {
+	if err := e.admit(req, route); err != nil {
+		return nil, err
+	}
+	if e.quarantine.IsHeld(req.fingerprint()) {
+		e.counters.Quarantined.Add(1)
+		return nil, fault.New(fault.RequestQuarantined, fault.NotRun, "requests like this one crashed servers a short time ago")
+	}
+	return e.runOnPools(ctx, req, route)
+}
+
+// runOnPools runs the query on the pool that the director picks, and restarts
+// it where that proves necessary and possible.
+func (e *Engine) runOnPools(ctx context.Context, req Request, route *table.Route) (*Result, error) {
+	var excluded []uint64
+	pool, report := e.opts.Director.Direct(e.opts.View.Load().Configuration().Tables, route)
+	start := time.Now()
+	for restart := 0; ; restart++ {
+		result, err := e.runOnSnapshot(ctx, req, route, pool, excluded)
+		if gone, ok := asSnapshotGone(err); ok && restart < maxRestarts && time.Now().Before(req.deadline) {
+			e.counters.Restarts.Add(1)
+			excluded = append(excluded, gone.version)
+			continue
+		}
+		report(Report{Failed: err != nil && ctx.Err() != context.Canceled, Latency: time.Since(start)})
+		if err == nil || pool == route.Pool() || restart >= maxRestarts || !mayRunAgain(route, err) {
+			return result, publicFault(err)
+		}
+		// The new version of a move failed; the old one still serves.
+		e.counters.Restarts.Add(1)
+		pool, report, excluded = route.Pool(), func(Report) {}, nil
+	}
+}
+
+func mayRunAgain(route *table.Route, err error) bool {
+	f := fault.From(err)
+	if f.Kind() == fault.RequestQuarantined {
+		return false
+	}
+	return route.Idempotent() || f.Outcome() == fault.NotRun
+}
+
+func (e *Engine) runOnSnapshot(ctx context.Context, req Request, route *table.Route, pool string, excluded []uint64) (*Result, error) {
+	view := e.opts.View.Load().Pool(pool)
+	if view == nil {
+		return nil, fault.New(fault.UnknownRoute, fault.NotRun, "there is no pool %q", pool)
+	}
+	snapshot := view.Snapshot(excluded...)
+	if snapshot == nil {
+		return nil, fault.New(fault.NoSnapshot, fault.NotRun, "no server of pool %q holds a snapshot", pool)
+	}
+	if !snapshot.IsComplete() && !route.Partial() {
+		return nil, fault.New(fault.NoSnapshot, fault.NotRun, "only %d of %d shards of pool %q have a server", snapshot.Held(), snapshot.Shards(), pool)
+	}
+	f := newFanOut(e, req, route, view, snapshot)
+	return f.run(ctx)
+}
+
+// admit refuses a query that could not be answered in time, before any server
+// has seen it. Routes of lower priority are refused earlier.
+func (e *Engine) admit(req Request, route *table.Route) error {
+	left := time.Until(req.deadline)
+	if left <= 0 {
+		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the deadline had passed on arrival")
+	}
+	share := admissionShare(route.Priority())
+	if float64(e.inFlight.Load()) > share*float64(e.opts.MaxInFlight) {
+		return fault.New(fault.Overloaded, fault.NotRun, "%d queries are in flight on this host", e.inFlight.Load())
+	}
+	pool := e.opts.View.Load().Pool(route.Pool())
+	if pool == nil {
+		return nil
+	}
+	expected := pool.Load().ExpectedWait() + pool.Load().Typical()
+	if pool.Load().Waiting() > 0 && float64(expected) > share*float64(left) {
+		return fault.New(fault.Overloaded, fault.NotRun, "the wait for a server is %s, the request has %s", expected.Round(time.Millisecond), left.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// admissionShare is the part of a limit that a priority may use.
+func admissionShare(p table.Priority) float64 {
+	switch p {
+	case table.High:
+		return 1
+	case table.Low:
+		return 0.4
+	default:
+		return 0.7
+	}
+}
+
+// callDeadline is when a server must have started at the latest for its answer
+// to arrive in time.
+func callDeadline(req Request) time.Time {
+	left := time.Until(req.deadline)
+	return req.deadline.Add(-min(left/returnShare, maxReturn))
+}
+
+// Serve runs a call that another host passed on.
+func (e *Engine) serveTracker(server string) (*balance.Tracker, error) {
+	tracker, ok := e.opts.Fleet.AcquireFor(server)
+	if !ok {
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "this host has no room at server %q", server)
+	}
+	return tracker, nil
+}
--- /dev/null
+++ b/services/query/fanout.go
@@ -0,0 +1,159 @@
+package query
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/table"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+// snapshotGoneError reports that no server holds the pinned snapshot of a shard
+// any more. The query must restart on another snapshot.
+type snapshotGoneError struct {
+	version uint64
+	outcome fault.Outcome
+}
+
+// Error implements error.
+func (s *snapshotGoneError) Error() string { return "the snapshot left its servers under the query" }
+
+// Unwrap returns the failure as a fault.
+func (s *snapshotGoneError) Unwrap() error {
+	return fault.New(fault.NoSnapshot, s.outcome, "snapshot %d left its servers under the query", s.version)
+}
+
+func asSnapshotGone(err error) (*snapshotGoneError, bool) {
+	var gone *snapshotGoneError
+	return gone, errors.As(err, &gone)
+}
+
+// publicFault returns err as the fault that the Caller sees.
+func publicFault(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fault.From(err)
+}
+
+// fanOut is one run of a query on one snapshot.
+type fanOut struct {
+	engine   *Engine
+	req      Request
+	route    *table.Route
+	pool     *balance.PoolView
+	snapshot *balance.SnapshotView
+	call     upstream.Call
+	// unproven counts attempts that may have run.
+	unproven atomic.Int32
+	crashed  crashWatch
+	answers  []*upstream.Answer
+	errs     []error
+}
+
+func newFanOut(e *Engine, req Request, route *table.Route, pool *balance.PoolView, snapshot *balance.SnapshotView) *fanOut {
+	holding := upstream.Holding{Snapshot: snapshot.Version(), Shards: snapshot.Shards()}
+	call := upstream.NewCall("", req.route, holding, callDeadline(req), req.payload)
+	if !route.Idempotent() {
+		call = call.WithKey(req.key)
+	}
+	f := &fanOut{engine: e, req: req, route: route, pool: pool, snapshot: snapshot, call: call}
+	f.answers = make([]*upstream.Answer, snapshot.Shards())
+	f.errs = make([]error, snapshot.Shards())
+	f.crashed.init(&e.quarantine, req)
+	return f
+}
+
+// run asks every shard and joins the replies.
+func (f *fanOut) run(ctx context.Context) (*Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	for shard := range f.answers {
+		if len(f.snapshot.Replicas(shard)) == 0 {
+			f.errs[shard] = fault.New(fault.NoSnapshot, fault.NotRun, "shard %d has no server", shard)
+			continue
+		}
+		wg.Go(func() {
+			run := &shardRun{fan: f, shard: shard}
+			f.answers[shard], f.errs[shard] = run.run(ctx)
+			if f.errs[shard] != nil && f.endsQuery(f.errs[shard]) {
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	return f.join()
+}
+
+// endsQuery reports whether a shard's failure leaves nothing for the others to
+// do.
+func (f *fanOut) endsQuery(err error) bool {
+	if _, gone := asSnapshotGone(err); gone {
+		return true
+	}
+	return !f.route.Partial() || fault.Is(err, fault.RequestQuarantined)
+}
+
+// join builds the answer from the accepted replies alone.
+func (f *fanOut) join() (*Result, error) {
+	result := &Result{pool: f.pool.Pool().Name(), snapshot: f.snapshot.Version(), total: len(f.answers)}
+	result.shards = make([]ShardResult, 0, len(f.answers))
+	for shard, a := range f.answers {
+		if a == nil {
+			result.missing = append(result.missing, shard)
+			continue
+		}
+		result.shards = append(result.shards, ShardResult{shard, a.Results()})
+	}
+	if len(result.missing) == 0 {
+		return result, nil
+	}
+	err := f.worstError()
+	_, gone := asSnapshotGone(err)
+	if gone || !f.route.Partial() || len(result.shards) == 0 || fault.Is(err, fault.RequestQuarantined) {
+		return nil, err
+	}
+	return result, nil
+}
+
+// worstError picks the error that decides, and states the outcome of the whole
+// query: NotRun needs that no shard may have run.
+func (f *fanOut) worstError() error {
+	outcome := fault.NotRun
+	if f.unproven.Load() > 0 {
+		outcome = fault.Unknown
+	}
+	var worst *fault.Fault
+	for _, err := range f.errs {
+		if err == nil {
+			continue
+		}
+		if gone, ok := asSnapshotGone(err); ok && (f.route.Idempotent() || outcome == fault.NotRun) {
+			return &snapshotGoneError{gone.version, outcome}
+		}
+		current := fault.From(err)
+		if worst == nil || severity(current) > severity(worst) {
+			worst = current
+		}
+	}
+	return worst.WithOutcome(outcome)
+}
+
+// severity orders faults by how much they tell of the cause.
+func severity(f *fault.Fault) int {
+	switch f.Kind() {
+	case fault.Cancelled:
+		return 0
+	case fault.RequestQuarantined:
+		return 3
+	case fault.DeadlineExceeded:
+		return 1
+	default:
+		return 2
+	}
+}
--- /dev/null
+++ b/services/query/shard.go
@@ -0,0 +1,229 @@
+package query
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/upstream"
+)
+
+const (
+	// queueCheck is how long a request without a server waits at most before it
+	// looks again; a server that gets free wakes it earlier.
+	queueCheck = 5 * time.Millisecond
+	// refusalBackoff is the first pause after every server of a shard refused.
+	refusalBackoff = 2 * time.Millisecond
+	// maxAttempts bounds the attempts for one shard.
+	maxAttempts = 12
+	// resultBuffer holds the results of attempts that nobody waits for any more.
+	resultBuffer = maxAttempts + 2
+)
+
+type attemptResult struct {
+	answer  *upstream.Answer
+	err     error
+	tracker *balance.Tracker
+}
+
+// shardRun asks the servers of one shard until one answers.
+type shardRun struct {
+	fan      *fanOut
+	shard    int
+	tried    []*balance.Tracker
+	results  chan attemptResult
+	open     int
+	attempts int
+	notHeld  int
+	backoff  time.Duration
+	lastErr  error
+}
+
+func (s *shardRun) run(ctx context.Context) (*upstream.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.results = make(chan attemptResult, resultBuffer)
+	s.backoff = refusalBackoff
+	load := s.fan.pool.Load()
+	load.Deposit()
+	if err := s.launch(ctx); err != nil {
+		return nil, err
+	}
+	hedge := time.NewTimer(load.HedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case r := <-s.results:
+			s.open--
+			if r.err == nil {
+				s.fan.crashed.succeeded()
+				return r.answer, nil
+			}
+			if err := s.failed(ctx, r); err != nil {
+				return nil, err
+			}
+		case <-hedge.C:
+			s.hedge(ctx)
+		case <-ctx.Done():
+			return nil, s.expired(ctx)
+		}
+	}
+}
+
+// launch sends the request to a server, waiting for one that has room.
+func (s *shardRun) launch(ctx context.Context) error {
+	choice, err := s.choose(ctx)
+	if err != nil {
+		return err
+	}
+	s.start(ctx, choice)
+	if s.fan.route.Idempotent() && s.attempts == 1 {
+		s.probe(ctx, choice.Tracker())
+	}
+	return nil
+}
+
+func (s *shardRun) choose(ctx context.Context) (balance.Choice, error) {
+	if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
+		return choice, nil
+	}
+	load := s.fan.pool.Load()
+	load.EnterQueue()
+	defer load.LeaveQueue()
+	timer := time.NewTimer(queueCheck)
+	defer timer.Stop()
+	for {
+		select {
+		case <-load.Freed():
+		case <-timer.C:
+			timer.Reset(queueCheck)
+		case <-ctx.Done():
+			return balance.Choice{}, s.expired(ctx)
+		}
+		if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
+			return choice, nil
+		}
+		s.tried = s.tried[:0]
+	}
+}
+
+func (s *shardRun) start(ctx context.Context, choice balance.Choice) {
+	s.attempts++
+	s.open++
+	s.tried = append(s.tried, choice.Tracker())
+	call := s.fan.call.WithShard(s.shard).WithAttempt(s.fan.engine.nextAttempt())
+	results := s.results
+	s.fan.unproven.Add(1)
+	go func() {
+		answer, err := s.fan.engine.attempt(ctx, choice, call)
+		results <- attemptResult{answer, err, choice.Tracker()}
+	}()
+}
+
+// probe sends a copy to a server that is due for a look. The copy runs on when
+// the other answer comes first, since its end is what is asked for.
+func (s *shardRun) probe(ctx context.Context, busy *balance.Tracker) {
+	choice, ok := s.fan.snapshot.ChooseProbe(s.shard, busy)
+	if !ok {
+		return
+	}
+	s.fan.engine.counters.Probes.Add(1)
+	s.start(context.WithoutCancel(ctx), choice)
+}
+
+// hedge sends a backup request to another server if the budget allows.
+func (s *shardRun) hedge(ctx context.Context) {
+	if !s.fan.route.Idempotent() || s.attempts >= maxAttempts || s.fan.crashed.isSuspect() {
+		return
+	}
+	if len(s.tried) >= len(s.fan.snapshot.Replicas(s.shard)) || !s.fan.pool.Load().MayHedge() {
+		return
+	}
+	choice, ok := s.fan.snapshot.Choose(s.shard, s.tried)
+	if !ok {
+		return
+	}
+	s.fan.engine.counters.Hedges.Add(1)
+	s.start(ctx, choice)
+}
+
+// failed decides what follows a failed attempt: another one, waiting for those
+// still open, or the end. It returns an error at the end only.
+func (s *shardRun) failed(ctx context.Context, r attemptResult) error {
+	s.lastErr = r.err
+	f := fault.From(r.err)
+	if f.Outcome() == fault.NotRun {
+		s.fan.unproven.Add(-1)
+		return s.refused(ctx, r)
+	}
+	if !s.fan.route.Idempotent() {
+		return f
+	}
+	if f.Kind() == fault.ConnectionFailed {
+		if err := s.fan.crashed.failed(ctx, r.tracker.Upstream().ID(), s.fan.pool.Load().HedgeDelay()); err != nil {
+			return err
+		}
+	}
+	return s.again(ctx, f)
+}
+
+// refused handles a proof that the attempt did not run.
+func (s *shardRun) refused(ctx context.Context, r attemptResult) error {
+	var refusal *upstream.Refusal
+	if errors.As(r.err, &refusal) {
+		switch refusal.Reason() {
+		case upstream.ReasonSnapshotNotHeld:
+			s.notHeld++
+			if s.notHeld >= len(s.fan.snapshot.Replicas(s.shard)) {
+				return &snapshotGoneError{s.fan.snapshot.Version(), fault.NotRun}
+			}
+		case upstream.ReasonExpired:
+			return fault.New(fault.DeadlineExceeded, fault.NotRun, "no server could start shard %d in time", s.shard)
+		}
+	}
+	return s.again(ctx, fault.From(r.err))
+}
+
+// again sends the request to another server, after a pause once all of them
+// were tried.
+func (s *shardRun) again(ctx context.Context, last *fault.Fault) error {
+	if s.open > 0 {
+		return nil
+	}
+	if s.attempts >= maxAttempts {
+		return last
+	}
+	if len(s.tried) >= len(s.fan.snapshot.Replicas(s.shard)) {
+		s.tried = s.tried[:0]
+		if !sleep(ctx, s.backoff) {
+			return s.expired(ctx)
+		}
+		s.backoff *= 2
+	}
+	s.fan.engine.counters.Retries.Add(1)
+	return s.launch(ctx)
+}
+
+// expired returns the fault for a shard whose time is over or whose query ended.
+func (s *shardRun) expired(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fault.New(fault.Cancelled, fault.Unknown, "the query ended before shard %d answered", s.shard)
+	}
+	if s.lastErr != nil {
+		return fault.Wrap(fault.DeadlineExceeded, fault.Unknown, s.lastErr, "shard %d gave no answer in time", s.shard)
+	}
+	return fault.New(fault.DeadlineExceeded, fault.Unknown, "shard %d gave no answer in time", s.shard)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/services/table/accepted.go
@@ -0,0 +1,102 @@
+package table
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// acceptedDocument is the accepted object in the store.
+type acceptedDocument struct {
+	Generation    uint64          `json:"generation"`
+	RoutesVersion uint64          `json:"routes_version"`
+	PoolsVersion  uint64          `json:"pools_version"`
+	Writer        string          `json:"writer"`
+	Nonce         string          `json:"nonce"`
+	Routes        json.RawMessage `json:"routes"`
+	Pools         json.RawMessage `json:"pools"`
+}
+
+// Source names the pair of table versions and the writer of an accepted object.
+type Source struct {
+	routesVersion uint64
+	poolsVersion  uint64
+	writer        string
+	nonce         string
+}
+
+// NewSource returns a Source. The nonce is unique for each attempt to write, so
+// that a writer that lost the store's answer recognises its own object.
+func NewSource(routesVersion, poolsVersion uint64, writer, nonce string) Source {
+	return Source{routesVersion, poolsVersion, writer, nonce}
+}
+
+// RoutesVersion returns the store's version of the routes table.
+func (s Source) RoutesVersion() uint64 { return s.routesVersion }
+
+// PoolsVersion returns the store's version of the pools table.
+func (s Source) PoolsVersion() uint64 { return s.poolsVersion }
+
+// Nonce returns the mark of the attempt that wrote the object.
+func (s Source) Nonce() string { return s.nonce }
+
+// Encode returns the accepted object for a pair of tables.
+func Encode(generation uint64, source Source, routes, pools []byte) ([]byte, error) {
+	return json.Marshal(acceptedDocument{
+		Generation:    generation,
+		RoutesVersion: source.routesVersion,
+		PoolsVersion:  source.poolsVersion,
+		Writer:        source.writer,
+		Nonce:         source.nonce,
+		Routes:        compact(routes),
+		Pools:         compact(pools),
+	})
+}
+
+// compact leaves out the white space of a table, so that two tables of the
+// largest size that operators indent still fit into one object.
+func compact(document []byte) json.RawMessage {
+	var out bytes.Buffer
+	if err := json.Compact(&out, document); err != nil {
+		return document
+	}
+	return out.Bytes()
+}
+
+// Decode reads an accepted object. It returns a problem if the object is
+// damaged, in which case it must not replace an earlier configuration.
+func Decode(document []byte) (*Configuration, Source, error) {
+	var doc acceptedDocument
+	if err := json.Unmarshal(document, &doc); err != nil {
+		return nil, Source{}, Problem{"accepted", "-", "-", err.Error()}
+	}
+	if doc.Generation == 0 {
+		return nil, Source{}, Problem{"accepted", "-", "generation", "is missing"}
+	}
+	tables, problems := Join(doc.Routes, doc.Pools)
+	if len(problems) > 0 {
+		return nil, Source{}, problems
+	}
+	source := NewSource(doc.RoutesVersion, doc.PoolsVersion, doc.Writer, doc.Nonce)
+	return &Configuration{Tables: tables, generation: doc.Generation, document: document}, source, nil
+}
+
+func (c *Configuration) summary() ([]byte, error) {
+	if c == nil || c.Tables == nil {
+		return []byte(`{"generation":0}`), nil
+	}
+	return json.Marshal(struct {
+		Generation uint64          `json:"generation"`
+		Routes     int             `json:"routes"`
+		Pools      int             `json:"pools"`
+		Upstreams  int             `json:"upstreams"`
+		Moves      int             `json:"moves"`
+		Drained    map[string]bool `json:"drained"`
+		Bytes      int             `json:"bytes"`
+	}{c.generation, len(c.routes), len(c.pools), c.UpstreamCount(), len(c.moves), c.drained, len(c.document)})
+}
+
+// String implements fmt.Stringer.
+func (c *Configuration) String() string {
+	return fmt.Sprintf("generation %d", c.Generation())
+}
--- /dev/null
+++ b/tests/harness/keys.go
@@ -0,0 +1,76 @@
+package harness
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+const keyLifetime = 24 * time.Hour
+
+// writeKeys makes a throw-away authority and a key for each daemon.
+func writeKeys(dir string, daemons int) error {
+	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	ca := template("godwithatch throw-away authority", 1)
+	ca.IsCA, ca.BasicConstraintsValid, ca.KeyUsage = true, true, x509.KeyUsageCertSign
+	if err := writeCertificate(filepath.Join(dir, "ca.pem"), ca, ca, &caKey.PublicKey, caKey); err != nil {
+		return err
+	}
+	for i := range daemons {
+		if err := WriteKey(dir, DaemonID(i), int64(i+2), ca, caKey); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteKey makes the certificate and the key of one host.
+func WriteKey(dir, id string, serial int64, ca *x509.Certificate, caKey *ecdsa.PrivateKey) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	c := template(id, serial)
+	c.DNSNames = []string{id}
+	if err := writeCertificate(filepath.Join(dir, id+".pem"), c, ca, &key.PublicKey, caKey); err != nil {
+		return err
+	}
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return err
+	}
+	return writePEM(filepath.Join(dir, id+".key"), "EC PRIVATE KEY", der)
+}
+
+func template(name string, serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(keyLifetime),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
+
+func writeCertificate(path string, c, parent *x509.Certificate, public, signer any) error {
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, public, signer)
+	if err != nil {
+		return err
+	}
+	return writePEM(path, "CERTIFICATE", der)
+}
+
+func writePEM(path, kind string, der []byte) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
