--- /dev/null
+++ b/Makefile
@@ -0,0 +1,71 @@
+# Entry to build, test, lint, generate, measure and demo.
+GOFUMPT_VERSION := v0.12.0
+LINT_VERSION := v2.15.0
+ENUMER_VERSION := v1.7.2
+BIN := $(CURDIR)/.bin
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
+LDFLAGS := -X github.com/godwithatch/godwithatch/cmd.Version=$(VERSION)
+
+.PHONY: build test check lint format generate generated unit process fuzz demo measure slopes bench tools clean
+
+build: ## Build the program.
+	go build -ldflags "$(LDFLAGS)" -o $(BIN)/godwithatch .
+
+test: build check unit process ## All checks and tests.
+
+check: generated lint ## Format, lint, vet, generated code.
+	go vet ./...
+
+tools: $(BIN)/gofumpt-$(GOFUMPT_VERSION) $(BIN)/golangci-lint-$(LINT_VERSION) $(BIN)/enumer-$(ENUMER_VERSION)
+
+$(BIN)/gofumpt-$(GOFUMPT_VERSION):
+	GOBIN=$(BIN) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	touch $@
+
+$(BIN)/golangci-lint-$(LINT_VERSION):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	touch $@
+
+$(BIN)/enumer-$(ENUMER_VERSION):
+	GOBIN=$(BIN) go install github.com/dmarkham/enumer@$(ENUMER_VERSION)
+	touch $@
+
+lint: tools
+	@unformatted=$$($(BIN)/gofumpt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(BIN)/golangci-lint run ./...
+
+format: tools
+	$(BIN)/gofumpt -w .
+
+generate: tools
+	go generate ./...
+
+generated: generate ## The committed generated code is up to date.
+	@git diff --exit-code --stat -- '*_enumer.go'
+
+unit: ## Unit, property and trace tests with the race detector.
+	go run ./tests/known -race ./cmd/... ./modules/... ./routers/... ./services/... ./tests/standin/... ./tests/proof/...
+
+process: ## Tests that run separate processes.
+	go run ./tests/known -count=1 ./tests/process/...
+
+fuzz: ## Fuzz the parsers for a minute each.
+	go test -fuzz=FuzzJoin -fuzztime=60s ./services/table
+	go test -fuzz=FuzzParse -fuzztime=60s ./modules/setting
+	go test -fuzz=FuzzRequest -fuzztime=60s ./routers/caller
+	go test -fuzz=FuzzMessage -fuzztime=60s ./services/peer
+
+demo: ## Run a small deployment as separate processes.
+	go run ./tests/demo
+
+measure: ## Write docs/MEASUREMENTS.md.
+	go run ./tests/measure -out docs/MEASUREMENTS.md
+
+slopes: ## Print the cost per unit of each part over growing sizes.
+	go run ./tests/slopes
+
+bench: ## Speed of the request path.
+	go test -run '^$$' -bench . -benchmem ./services/...
+
+clean:
+	rm -rf $(BIN)
--- a/services/balance/knowledge.go
+++ b/services/balance/knowledge.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"slices"
-
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
 
@@ -33,5 +31,3 @@
 	}
 	return k.Level < old.Level
 }
-
-func (k Knowledge) holds(h upstream.Holding) bool { return slices.Contains(k.Holdings, h) }
--- a/services/balance/poolload.go
+++ b/services/balance/poolload.go
@@ -23,16 +23,13 @@
 	policy    Policy
 	latencies quantile.Estimator
 	extra     *budget.Budget
-	completed atomic.Int64
 	waiting   atomic.Int64
 	typical   atomic.Int64
 	delay     atomic.Int64
-	rate      atomic.Int64
+	inFlight  atomic.Int64
 	freed     chan struct{}
 
-	fadedAt   time.Time
-	tickedAt  time.Time
-	lastCount int64
+	fadedAt time.Time
 }
 
 func newPoolLoad(policy Policy) *PoolLoad {
@@ -91,19 +88,19 @@
 // Typical returns the median latency of the pool, or zero.
 func (l *PoolLoad) Typical() time.Duration { return time.Duration(l.typical.Load()) }
 
-// ExpectedWait returns how long a new request would wait for a server.
+// ExpectedWait returns how long a new request would wait for a server. By
+// Little's law the requests in flight leave at their number over their latency;
+// the rate of the past would tell nothing after a time without load.
 func (l *PoolLoad) ExpectedWait() time.Duration {
 	waiting := l.waiting.Load()
 	if waiting == 0 {
 		return 0
 	}
-	rate := max(l.rate.Load(), 1)
-	return time.Duration(waiting) * time.Second / time.Duration(rate)
+	return time.Duration(waiting * l.typical.Load() / max(l.inFlight.Load(), 1))
 }
 
 // tick folds the counters. One controller calls it.
 func (l *PoolLoad) tick(now time.Time) {
-	l.foldRate(now)
 	if median, ok := l.latencies.Quantile(baselineQuantile); ok {
 		l.typical.Store(int64(median))
 	}
@@ -119,14 +116,3 @@
 		l.latencies.Halve()
 	}
 }
-
-// foldRate keeps the moving average of completed requests a second.
-func (l *PoolLoad) foldRate(now time.Time) {
-	count := l.completed.Load()
-	if !l.tickedAt.IsZero() && now.After(l.tickedAt) {
-		current := int64(float64(count-l.lastCount) / now.Sub(l.tickedAt).Seconds())
-		l.rate.Store(l.rate.Load() + (current-l.rate.Load())/4)
-	}
-	l.lastCount = count
-	l.tickedAt = now
-}
--- a/services/balance/tracker.go
+++ b/services/balance/tracker.go
@@ -136,6 +136,7 @@
 		limit = 1
 	}
 	if t.inFlight.Add(1) <= limit {
+		t.load.inFlight.Add(1)
 		return true
 	}
 	t.inFlight.Add(-1)
@@ -149,6 +150,7 @@
 // Release gives back the unit of the share that a choice took.
 func (t *Tracker) Release() {
 	t.inFlight.Add(-1)
+	t.load.inFlight.Add(-1)
 	t.load.free()
 }
 
@@ -156,7 +158,6 @@
 func (t *Tracker) Succeeded(d time.Duration, s upstream.State) {
 	t.observeLatency(d)
 	t.load.latencies.Observe(d)
-	t.load.completed.Add(1)
 	if t.ramping.Load() {
 		t.mu.Lock()
 		t.successes++
--- a/services/daemon/handler.go
+++ b/services/daemon/handler.go
@@ -39,7 +39,11 @@
 	if !ok {
 		return nil, fault.New(fault.PeerFailed, fault.NotRun, "host %q is not known", host)
 	}
-	return f.d.transport.Forward(ctx, m, server, call)
+	answer, err := f.d.transport.Forward(ctx, m, server, call)
+	if fault.Is(err, fault.PeerFailed) && ctx.Err() == nil {
+		f.d.members.Avoid(host)
+	}
+	return answer, err
 }
 
 // news returns what this host tells a peer.
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -95,6 +95,9 @@
 	proven  bool
 	since   time.Time
 	timeout time.Time
+	// avoided is until when this host alone leaves the other one out, since it
+	// could not reach it.
+	avoided time.Time
 }
 
 // Membership is one host's view of the set of hosts.
@@ -203,6 +206,12 @@
 func (m *Membership) Heard(from Member, updates []Member) {
 	m.settled.Store(true)
 	m.Learn(append([]Member{from}, updates...))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b := m.beliefs[from.ID]; b != nil && !b.avoided.IsZero() {
+		b.avoided = time.Time{}
+		m.publish()
+	}
 }
 
 // Learn takes in news.
@@ -253,6 +262,20 @@
 	m.updates.Put(m.self.ID, m.self)
 }
 
+// Avoid leaves a host out of the live ones of this host alone, for the time of a
+// suspicion or until it is heard from. Work that failed to reach a host tells of
+// its loss earlier than the probes do.
+func (m *Membership) Avoid(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.beliefs[id]
+	if b == nil || !b.proven || time.Now().Before(b.avoided) {
+		return
+	}
+	b.avoided = time.Now().Add(suspicionHeartbeats * m.opts.Heartbeat)
+	m.publish()
+}
+
 // Leave announces that this host takes no new work.
 func (m *Membership) Leave() {
 	m.mu.Lock()
@@ -270,7 +293,7 @@
 		list = append(list, m.self)
 	}
 	for _, b := range m.beliefs {
-		if b.proven && b.member.State <= Suspect {
+		if b.proven && b.member.State <= Suspect && b.avoided.IsZero() {
 			list = append(list, b.member)
 		}
 	}
@@ -338,6 +361,10 @@
 // expire declares dead what was suspected for too long. The caller holds mu.
 func (m *Membership) expire(now time.Time) {
 	for _, b := range m.beliefs {
+		if !b.avoided.IsZero() && now.After(b.avoided) {
+			b.avoided = time.Time{}
+			m.publish()
+		}
 		if b.member.State == Suspect && now.After(b.timeout) {
 			dead := b.member
 			dead.State = Dead
--- a/services/peer/transport.go
+++ b/services/peer/transport.go
@@ -22,11 +22,19 @@
 	// keepAlive is the interval of the packets that show a silent connection.
 	keepAlive = time.Second
 	// dialTimeout bounds the making of a connection.
-	dialTimeout = time.Second
+	dialTimeout = 250 * time.Millisecond
+	// redialAfter is how long a host that could not be reached is not dialled.
+	redialAfter = 500 * time.Millisecond
+	// silence is how long a host may acknowledge nothing after a request was
+	// sent before its connection is given up. It is far above a round trip and
+	// far below a deadline; a host that works on a request acknowledges it.
+	silence = 100 * time.Millisecond
 	// maxStreams is how many requests one peer may have open.
 	maxStreams = 4096
 	// cancelledStream is the code with which a request is given up.
 	cancelledStream = 1
+	// silentConnection is the code with which a silent connection is closed.
+	silentConnection = 2
 )
 
 // Counters count the traffic of a Transport.
@@ -56,8 +64,9 @@
 // link is the connection to one host. Its mutex lets one request dial while
 // the others wait for it.
 type link struct {
-	mu   sync.Mutex
-	conn atomic.Pointer[quic.Conn]
+	mu       sync.Mutex
+	conn     atomic.Pointer[quic.Conn]
+	failedAt time.Time
 }
 
 // Listen opens the UDP address. Requests go to the handler once Serve runs.
@@ -77,7 +86,7 @@
 		config: &quic.Config{
 			MaxIdleTimeout:       idleTimeout,
 			KeepAlivePeriod:      keepAlive,
-			HandshakeIdleTimeout: dialTimeout,
+			HandshakeIdleTimeout: time.Second,
 			MaxIncomingStreams:   maxStreams,
 		},
 		conns: map[string]*link{},
@@ -157,7 +166,7 @@
 	case req.Kind == KindExchange && req.Exchange != nil:
 		return t.dispatchExchange(ctx, from, req.Exchange)
 	case req.Kind == KindProbe && req.Target != nil:
-		return faultResponse("", t.handler.OnProbe(ctx, *req.Target))
+		return faultResponse(t.handler.OnProbe(ctx, *req.Target))
 	case req.Kind == KindForward && req.Forward != nil:
 		return t.dispatchForward(ctx, req.Forward)
 	case req.Kind == KindConfiguration:
@@ -168,13 +177,13 @@
 	case req.Kind == KindResult:
 		return &response{Document: t.handler.OnResult(req.Key)}
 	default:
-		return faultResponse("", fault.New(fault.MalformedBody, fault.NotRun, "request kind %d has no body", req.Kind))
+		return faultResponse(fault.New(fault.MalformedBody, fault.NotRun, "request kind %d has no body", req.Kind))
 	}
 }
 
 func (t *Transport) dispatchExchange(ctx context.Context, from string, news *Exchange) *response {
 	if from != news.From.ID {
-		return faultResponse("", fault.New(fault.PeerFailed, fault.NotRun, "host %q speaks for %q", from, news.From.ID))
+		return faultResponse(fault.New(fault.PeerFailed, fault.NotRun, "host %q speaks for %q", from, news.From.ID))
 	}
 	reply := t.handler.OnExchange(ctx, from, *news)
 	return &response{Exchange: &reply}
@@ -186,7 +195,7 @@
 	defer cancel()
 	answer, err := t.handler.OnForward(ctx, f.Server, call)
 	if err != nil {
-		return faultResponse(f.Server, err)
+		return faultResponse(err)
 	}
 	holding := answer.Holding()
 	return &response{
@@ -197,11 +206,11 @@
 	}
 }
 
-func faultResponse(server string, err error) *response {
+func faultResponse(err error) *response {
 	if err == nil {
 		return &response{}
 	}
-	return &response{Fault: encodeFault(server, err)}
+	return &response{Fault: encodeFault(err)}
 }
 
 func asRefusal(err error) (*upstream.Refusal, bool) {
@@ -269,12 +278,12 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, fault.NotRun, err, "the request cannot be encoded")
 	}
-	stream, err := t.open(ctx, to)
+	stream, conn, err := t.open(ctx, to)
 	if err != nil {
 		t.counters.Failures.Add(1)
 		return nil, fault.Wrap(fault.PeerFailed, fault.NotRun, err, "host %q cannot be reached", to.ID)
 	}
-	resp, err := t.roundTrip(ctx, stream, body)
+	resp, err := t.roundTrip(ctx, conn, stream, body)
 	if err != nil {
 		t.counters.Failures.Add(1)
 		return nil, fault.Wrap(fault.PeerFailed, fault.Unknown, err, "host %q gave no answer", to.ID)
@@ -285,12 +294,19 @@
 	return resp, nil
 }
 
-func (t *Transport) roundTrip(ctx context.Context, stream *quic.Stream, body []byte) (*response, error) {
+func (t *Transport) roundTrip(ctx context.Context, conn *quic.Conn, stream *quic.Stream, body []byte) (*response, error) {
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(cancelledStream)
 		stream.CancelWrite(cancelledStream)
 	})
 	defer stop()
+	received := conn.ConnectionStats().PacketsReceived
+	watch := time.AfterFunc(silence, func() {
+		if conn.ConnectionStats().PacketsReceived == received {
+			_ = conn.CloseWithError(silentConnection, "")
+		}
+	})
+	defer watch.Stop()
 	t.counters.BytesOut.Add(int64(len(body)))
 	if _, err := stream.Write(body); err != nil {
 		return nil, err
@@ -306,22 +322,35 @@
 }
 
 // open returns a stream to a host, dialling if there is no live connection.
-func (t *Transport) open(ctx context.Context, to membership.Member) (*quic.Stream, error) {
+func (t *Transport) open(ctx context.Context, to membership.Member) (*quic.Stream, *quic.Conn, error) {
+	conn, err := t.connect(ctx, to)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	return stream, conn, err
+}
+
+func (t *Transport) connect(ctx context.Context, to membership.Member) (*quic.Conn, error) {
 	l := t.link(to)
 	if conn := l.conn.Load(); conn != nil && conn.Context().Err() == nil {
-		return conn.OpenStreamSync(ctx)
+		return conn, nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	conn := l.conn.Load()
-	if conn == nil || conn.Context().Err() != nil {
-		var err error
-		if conn, err = t.dial(ctx, to); err != nil {
-			return nil, err
-		}
-		l.conn.Store(conn)
+	if conn := l.conn.Load(); conn != nil && conn.Context().Err() == nil {
+		return conn, nil
+	}
+	if since := time.Since(l.failedAt); since < redialAfter {
+		return nil, fault.New(fault.PeerFailed, fault.NotRun, "dialling failed %s ago", since)
+	}
+	conn, err := t.dial(ctx, to)
+	if err != nil {
+		l.failedAt = time.Now()
+		return nil, err
 	}
-	return conn.OpenStreamSync(ctx)
+	l.conn.Store(conn)
+	return conn, nil
 }
 
 func (t *Transport) link(to membership.Member) *link {
--- a/services/peer/wire.go
+++ b/services/peer/wire.go
@@ -71,7 +71,7 @@
 	return call
 }
 
-func encodeFault(server string, err error) *wireFault {
+func encodeFault(err error) *wireFault {
 	f := fault.From(err)
 	w := &wireFault{Kind: f.Kind(), Outcome: f.Outcome(), Detail: f.Detail()}
 	if refusal, ok := asRefusal(err); ok {
--- a/services/platform/client.go
+++ b/services/platform/client.go
@@ -55,11 +55,11 @@
 func (c *Client) read(ctx context.Context, name, query string, timeout time.Duration) (Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, body, err := c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name)+query, nil, 0)
+	header, body, err := c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name)+query, nil, 0)
 	if err != nil {
 		return Object{}, err
 	}
-	version, err := versionOf(resp)
+	version, err := versionOf(header)
 	if err != nil {
 		return Object{}, err
 	}
@@ -96,11 +96,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	resp, _, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), value, version)
+	header, _, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), value, version)
 	if err != nil {
 		return 0, err
 	}
-	return versionOf(resp)
+	return versionOf(header)
 }
 
 // Hosts implements Store.
@@ -127,7 +127,7 @@
 }
 
 // call sends one request and reads its whole answer.
-func (c *Client) call(ctx context.Context, method, path string, body []byte, version uint64) (*http.Response, []byte, error) {
+func (c *Client) call(ctx context.Context, method, path string, body []byte, version uint64) (http.Header, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.Internal, fault.NotRun, err, "request to the store cannot be made")
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "the answer of the store broke off")
 	}
-	return resp, content, statusFault(resp.StatusCode, path)
+	return resp.Header, content, statusFault(resp.StatusCode, path)
 }
 
 func statusFault(status int, path string) error {
@@ -163,8 +163,8 @@
 	}
 }
 
-func versionOf(resp *http.Response) (uint64, error) {
-	v, err := strconv.ParseUint(resp.Header.Get(versionHeader), 10, 64)
+func versionOf(header http.Header) (uint64, error) {
+	v, err := strconv.ParseUint(header.Get(versionHeader), 10, 64)
 	if err != nil {
 		return 0, fault.Wrap(fault.StoreUnavailable, fault.Unknown, err, "the store sent no version")
 	}
--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -16,10 +16,12 @@
 	queueCheck = 5 * time.Millisecond
 	// refusalBackoff is the first pause after every server of a shard refused.
 	refusalBackoff = 2 * time.Millisecond
-	// maxAttempts bounds the attempts for one shard.
-	maxAttempts = 12
+	// maxBackoff bounds that pause.
+	maxBackoff = 50 * time.Millisecond
+	// maxAttempts bounds the attempts for one shard that may have run.
+	maxAttempts = 6
 	// resultBuffer holds the results of attempts that nobody waits for any more.
-	resultBuffer = maxAttempts + 2
+	resultBuffer = 2*maxAttempts + 2
 )
 
 type attemptResult struct {
@@ -156,6 +158,7 @@
 	f := fault.From(r.err)
 	if f.Outcome() == fault.NotRun {
 		s.fan.unproven.Add(-1)
+		s.attempts--
 		return s.refused(ctx, r)
 	}
 	if !s.fan.route.Idempotent() {
@@ -200,7 +203,7 @@
 		if !sleep(ctx, s.backoff) {
 			return s.expired(ctx)
 		}
-		s.backoff *= 2
+		s.backoff = min(2*s.backoff, maxBackoff)
 	}
 	s.fan.engine.counters.Retries.Add(1)
 	return s.launch(ctx)
--- a/tests/demo/main.go
+++ b/tests/demo/main.go
@@ -23,17 +23,18 @@
 	concurrency = 6
 )
 
-func main() {
+func main() { os.Exit(demo()) }
+
+func demo() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	d, err := harness.Start(ctx, harness.Options{Daemons: 3, Groups: groups, Subset: 2, Service: 4 * time.Millisecond})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
+		return 1
 	}
-	code := run(d)
-	d.Stop()
-	os.Exit(code)
+	defer d.Stop()
+	return run(d)
 }
 
 func run(d *harness.Deployment) int {
@@ -75,7 +76,7 @@
 				switch {
 				case err != nil || a.Status != 200:
 					failed++
-					fmt.Println("  failed:", err, a)
+					fmt.Printf("  failed: %v %+v\n", err, a)
 				case a.Coverage.Answered < a.Coverage.Total:
 					part++
 				default:
--- a/tests/standin/model/model.go
+++ b/tests/standin/model/model.go
@@ -175,7 +175,7 @@
 	s.inFlight++
 	wait := s.slot()
 	s.mu.Unlock()
-	if err := s.await(ctx, c, crash, wait); err != nil {
+	if err := s.await(ctx, crash, wait); err != nil {
 		return nil, upstream.State{}, err
 	}
 	s.mu.Lock()
@@ -240,7 +240,7 @@
 	return ready
 }
 
-func (s *Server) await(ctx context.Context, c upstream.Call, crash, ready chan struct{}) error {
+func (s *Server) await(ctx context.Context, crash, ready chan struct{}) error {
 	select {
 	case <-ready:
 		return nil
