--- a/services/daemon/controllers.go
+++ b/services/daemon/controllers.go
@@ -13,6 +13,7 @@
 	"github.com/godwithatch/godwithatch/services/configuration"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/platform"
+	"github.com/godwithatch/godwithatch/services/table"
 )
 
 const (
@@ -29,7 +30,8 @@
 	viewDelay = 5 * time.Millisecond
 )
 
-func (d *Daemon) startControllers(ctx context.Context) {
+// Start runs the controllers until ctx ends.
+func (d *Daemon) Start(ctx context.Context) {
 	d.wg.Go(func() { d.members.Run(ctx) })
 	d.wg.Go(func() { d.runHostList(ctx) })
 	d.wg.Go(func() { d.runView(ctx) })
@@ -147,12 +149,19 @@
 	d.view.Store(d.fleet.Build(c, hosts), "view")
 	for _, p := range c.Pools() {
 		for _, u := range p.Upstreams() {
-			d.upstreams.SetLimit(u, max(p.Connections()/max(len(hosts), 1), 1))
+			d.limitConnections(u, max(p.Connections()/max(len(hosts), 1), 1))
 		}
 	}
 	d.drained.Store(c.IsDrained(d.cfg.DataCentre()))
 }
 
+// limitConnections bounds the connections to a server, where they are pooled.
+func (d *Daemon) limitConnections(u *table.Upstream, limit int) {
+	if pooled, ok := d.servers.(interface{ SetLimit(*table.Upstream, int) }); ok {
+		pooled.SetLimit(u, limit)
+	}
+}
+
 // runFold folds the counters of the request path and queues what changed for
 // the other hosts.
 func (d *Daemon) runFold(ctx context.Context) {
@@ -180,7 +189,7 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 				defer cancel()
-				if s, err := d.upstreams.State(ctx, t.Upstream()); err == nil {
+				if s, err := d.servers.State(ctx, t.Upstream()); err == nil {
 					d.fleet.Observed(t.Upstream().ID(), s)
 				}
 			}()
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -50,8 +50,9 @@
 	suspects  broadcast.Queue[uint64, query.Suspect]
 
 	store     platform.Store
-	upstreams *upstream.Client
+	servers   upstream.Server
 	members   *membership.Membership
+	peers     Peers
 	transport *peer.Transport
 	fleet     *balance.Fleet
 	engine    *query.Engine
@@ -65,18 +66,78 @@
 	wg        sync.WaitGroup
 }
 
+// Peers reaches the other processes. The real one is peer.Transport.
+type Peers interface {
+	Exchange(ctx context.Context, to membership.Member, news peer.Exchange) (peer.Exchange, error)
+	Probe(ctx context.Context, via, target membership.Member) error
+	Forward(ctx context.Context, to membership.Member, server string, call upstream.Call) (*upstream.Answer, error)
+	Configuration(ctx context.Context, from membership.Member) ([]byte, error)
+	Knowledge(ctx context.Context, from membership.Member) (peer.Exchange, error)
+	Result(ctx context.Context, from membership.Member, key string) ([]byte, error)
+}
+
+// Parts are the daemon's ways to its peers, servers and the platform, and its
+// policy. Tests put fakes in their place.
+type Parts struct {
+	Store   platform.Store
+	Servers upstream.Server
+	Peers   Peers
+	Policy  balance.Policy
+}
+
 // New makes a Daemon and opens its listener for peers.
 func New(cfg *setting.Settings, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, log: log, boot: uint64(time.Now().UnixMilli()), registry: prometheus.NewRegistry()}
+	keys, err := peer.LoadKeys(cfg.Peer().CA(), cfg.Peer().Cert(), cfg.Peer().Key())
+	if err != nil {
+		return nil, err
+	}
+	transport, err := peer.Listen(cfg.Peer().Listen(), keys)
+	if err != nil {
+		return nil, err
+	}
+	d, err := NewWithParts(cfg, log, Parts{
+		Store:   platform.NewClient(cfg.Platform().Address(), cfg.Platform().Timeout()),
+		Servers: upstream.NewClient(cfg.Balance().Silence()),
+		Peers:   transport,
+		Policy: balance.Policy{
+			Subset:     cfg.Balance().Subset(),
+			HedgeShare: cfg.Balance().HedgeShare(),
+			HedgeBurst: cfg.Balance().HedgeBurst(),
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.transport = transport
+	d.registerPeerMetrics(transport.Counters())
+	return d, nil
+}
+
+// NewWithParts makes a Daemon on the given parts.
+func NewWithParts(cfg *setting.Settings, log zerolog.Logger, parts Parts) (*Daemon, error) {
+	d := &Daemon{
+		cfg:      cfg,
+		log:      log,
+		boot:     uint64(time.Now().UnixMilli()),
+		registry: prometheus.NewRegistry(),
+		store:    parts.Store,
+		servers:  parts.Servers,
+		peers:    parts.Peers,
+	}
 	injector := do.New()
 	do.ProvideValue(injector, d)
-	do.Provide(injector, provideStore)
-	do.Provide(injector, provideUpstreams)
+	do.ProvideValue(injector, parts.Policy)
 	do.Provide(injector, provideFleet)
 	do.Provide(injector, provideMembership)
 	do.Provide(injector, provideEngine)
-	do.Provide(injector, provideTransport)
-	if err := d.resolve(injector); err != nil {
+	var err error
+	if d.fleet, err = do.Invoke[*balance.Fleet](injector); err != nil {
+		return nil, err
+	}
+	if d.members, err = do.Invoke[*membership.Membership](injector); err != nil {
+		return nil, err
+	}
+	if d.engine, err = do.Invoke[*query.Engine](injector); err != nil {
 		return nil, err
 	}
 	d.describe()
@@ -84,35 +145,9 @@
 	return d, nil
 }
 
-// resolve takes the parts out of the injector. The transport comes last, since
-// it begins to answer peers at once.
-func (d *Daemon) resolve(injector do.Injector) error {
-	var err error
-	d.store = do.MustInvoke[platform.Store](injector)
-	d.upstreams = do.MustInvoke[*upstream.Client](injector)
-	d.fleet = do.MustInvoke[*balance.Fleet](injector)
-	d.members = do.MustInvoke[*membership.Membership](injector)
-	d.engine = do.MustInvoke[*query.Engine](injector)
-	d.transport, err = do.Invoke[*peer.Transport](injector)
-	return err
-}
-
-func provideStore(i do.Injector) (platform.Store, error) {
-	d := do.MustInvoke[*Daemon](i)
-	return platform.NewClient(d.cfg.Platform().Address(), d.cfg.Platform().Timeout()), nil
-}
-
-func provideUpstreams(i do.Injector) (*upstream.Client, error) {
-	return upstream.NewClient(do.MustInvoke[*Daemon](i).cfg.Balance().Silence()), nil
-}
-
 func provideFleet(i do.Injector) (*balance.Fleet, error) {
 	cfg := do.MustInvoke[*Daemon](i).cfg
-	return balance.NewFleet(cfg.Host(), cfg.DataCentre(), balance.Policy{
-		Subset:     cfg.Balance().Subset(),
-		HedgeShare: cfg.Balance().HedgeShare(),
-		HedgeBurst: cfg.Balance().HedgeBurst(),
-	}), nil
+	return balance.NewFleet(cfg.Host(), cfg.DataCentre(), do.MustInvoke[balance.Policy](i)), nil
 }
 
 func provideMembership(i do.Injector) (*membership.Membership, error) {
@@ -133,21 +168,12 @@
 		Incarnation: strconv.FormatUint(d.boot, 36),
 		View:        &d.view,
 		Fleet:       do.MustInvoke[*balance.Fleet](i),
-		Server:      do.MustInvoke[*upstream.Client](i),
+		Server:      d.servers,
 		Forwarder:   forwarder{d},
 		MaxInFlight: d.cfg.Caller().MaxInFlight(),
 	}), nil
 }
 
-func provideTransport(i do.Injector) (*peer.Transport, error) {
-	d := do.MustInvoke[*Daemon](i)
-	keys, err := peer.LoadKeys(d.cfg.Peer().CA(), d.cfg.Peer().Cert(), d.cfg.Peer().Key())
-	if err != nil {
-		return nil, err
-	}
-	return peer.Listen(d.cfg.Peer().Listen(), keys, &handler{d})
-}
-
 // describe names the sections of the state dump.
 func (d *Daemon) describe() {
 	blackboard.Add(&d.board, "configuration", d.keeper.Section())
@@ -181,8 +207,8 @@
 func (d *Daemon) Run(ctx context.Context, callers, operators Listener) error {
 	controllers, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go d.transport.Serve()
-	d.startControllers(controllers)
+	go d.transport.Serve(d.Handler())
+	d.Start(controllers)
 	failed := make(chan error, 2)
 	go func() { failed <- callers.Serve() }()
 	go func() { failed <- operators.Serve() }()
--- a/services/daemon/handler.go
+++ b/services/daemon/handler.go
@@ -27,7 +27,7 @@
 
 // ProbeVia implements membership.Prober.
 func (p prober) ProbeVia(ctx context.Context, via, target membership.Member) error {
-	return p.d.transport.Probe(ctx, via, target)
+	return p.d.peers.Probe(ctx, via, target)
 }
 
 // forwarder passes calls to other hosts for the engine.
@@ -39,7 +39,7 @@
 	if !ok {
 		return nil, fault.New(fault.PeerFailed, fault.NotRun, "host %q is not known", host)
 	}
-	answer, err := f.d.transport.Forward(ctx, m, server, call)
+	answer, err := f.d.peers.Forward(ctx, m, server, call)
 	if fault.Is(err, fault.PeerFailed) && ctx.Err() == nil {
 		f.d.members.Avoid(host)
 	}
@@ -61,7 +61,7 @@
 // exchange gives news to a peer and takes in its own.
 func (d *Daemon) exchange(ctx context.Context, to membership.Member) error {
 	first := !d.members.IsSettled()
-	reply, err := d.transport.Exchange(ctx, to, d.news())
+	reply, err := d.peers.Exchange(ctx, to, d.news())
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 
 // catchUp takes in all that a peer knows, after a start or a pause.
 func (d *Daemon) catchUp(ctx context.Context, from membership.Member) {
-	all, err := d.transport.Knowledge(ctx, from)
+	all, err := d.peers.Knowledge(ctx, from)
 	if err == nil {
 		d.learn(all)
 	}
@@ -109,13 +109,16 @@
 		defer d.fetching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
-		document, err := d.transport.Configuration(ctx, from)
+		document, err := d.peers.Configuration(ctx, from)
 		if err == nil && document != nil {
 			_, _ = d.keeper.Offer(document, "peer "+from.ID)
 		}
 	}()
 }
 
+// Handler returns what answers peers.
+func (d *Daemon) Handler() peer.Handler { return &handler{d} }
+
 // handler answers peers.
 type handler struct{ d *Daemon }
 
--- a/services/daemon/status.go
+++ b/services/daemon/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/configuration"
+	"github.com/godwithatch/godwithatch/services/peer"
 )
 
 // Readiness says whether the balancer should send requests to this host.
@@ -99,14 +100,26 @@
 	return list
 }
 
+// counter exposes one counter.
+func (d *Daemon) counter(name, help string, read func() int64) {
+	d.registry.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: "godwithatch", Name: name, Help: help},
+		func() float64 { return float64(read()) },
+	))
+}
+
+// registerPeerMetrics exposes the counters of the transport.
+func (d *Daemon) registerPeerMetrics(t *peer.Counters) {
+	d.counter("peer_requests_total", "Requests to other hosts.", t.Requests.Load)
+	d.counter("peer_served_total", "Requests of other hosts.", t.Served.Load)
+	d.counter("peer_failures_total", "Requests to other hosts that failed.", t.Failures.Load)
+	d.counter("peer_sent_bytes_total", "Message bytes sent to other hosts.", t.BytesOut.Load)
+	d.counter("peer_received_bytes_total", "Message bytes received from other hosts.", t.BytesIn.Load)
+}
+
 // registerMetrics exposes the counters.
 func (d *Daemon) registerMetrics() {
-	counter := func(name, help string, read func() int64) {
-		d.registry.MustRegister(prometheus.NewCounterFunc(
-			prometheus.CounterOpts{Namespace: "godwithatch", Name: name, Help: help},
-			func() float64 { return float64(read()) },
-		))
-	}
+	counter := d.counter
 	gauge := func(name, help string, read func() float64) {
 		d.registry.MustRegister(prometheus.NewGaugeFunc(
 			prometheus.GaugeOpts{Namespace: "godwithatch", Name: name, Help: help}, read,
@@ -125,12 +138,6 @@
 	counter("retries_total", "Requests sent again after a failure.", c.Retries.Load)
 	counter("hops_total", "Requests passed to another host.", c.Hops.Load)
 	counter("quarantined_total", "Queries refused since their like crashed servers.", c.Quarantined.Load)
-	t := d.transport.Counters()
-	counter("peer_requests_total", "Requests to other hosts.", t.Requests.Load)
-	counter("peer_served_total", "Requests of other hosts.", t.Served.Load)
-	counter("peer_failures_total", "Requests to other hosts that failed.", t.Failures.Load)
-	counter("peer_sent_bytes_total", "Message bytes sent to other hosts.", t.BytesOut.Load)
-	counter("peer_received_bytes_total", "Message bytes received from other hosts.", t.BytesIn.Load)
 	counter("pauses_total", "Times that this process found it had been paused.", d.members.Pauses)
 	gauge("generation", "Generation of the configuration in force.", func() float64 { return float64(d.keeper.Generation()) })
 	gauge("hosts", "Live hosts of the system.", func() float64 { return float64(len(d.members.Live().Load())) })
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -6,8 +6,8 @@
 // A Transport listens on one UDP address and dials from it. What arrives goes
 // to a Handler:
 //
-//	t, err := peer.Listen("127.1.0.1:8082", keys, handler)
-//	go t.Serve()
+//	t, err := peer.Listen("127.1.0.1:8082", keys)
+//	go t.Serve(handler)
 //	reply, err := t.Exchange(ctx, member, message)
 //	answer, err := t.Forward(ctx, member, server, call)
 //
--- a/services/peer/transport.go
+++ b/services/peer/transport.go
@@ -69,8 +69,9 @@
 	failedAt time.Time
 }
 
-// Listen opens the UDP address. Requests go to the handler once Serve runs.
-func Listen(address string, keys *Keys, handler Handler) (*Transport, error) {
+// Listen opens the UDP address for requests to others and, once Serve runs, for
+// those of others.
+func Listen(address string, keys *Keys) (*Transport, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerFailed, fault.NotRun, err, "%q is not a UDP address", address)
@@ -81,7 +82,6 @@
 	}
 	t := &Transport{
 		keys:    keys,
-		handler: handler,
 		quic:    &quic.Transport{Conn: socket},
 		config: &quic.Config{
 			MaxIdleTimeout:       idleTimeout,
@@ -109,8 +109,9 @@
 	return errors.Join(err, t.quic.Close(), t.quic.Conn.Close())
 }
 
-// Serve answers requests until Close.
-func (t *Transport) Serve() {
+// Serve answers requests with the handler until Close.
+func (t *Transport) Serve(handler Handler) {
+	t.handler = handler
 	for {
 		conn, err := t.listener.Accept(t.ctx)
 		if err != nil {
