Wait queues by shard and priority; slow servers only when waiting costs more

(2) Hosts without a share at a cold server passed thousands of calls a second to the one that had it, to be refused (trace: 4224 hops in the first second). (4) A slow replica was used whenever the fast ones were full. Ruled out: counting near-median servers as equal (steady p99 at 85 % rose from 76 to 108 ms, since the average carries the others' queues); reverted. Change: a queue per shard, by priority and arrival, the first stays first; admission by expected wait with a share of the time by priority; a host that may use a server of the shard waits instead of hopping; a success after a crash clears the suspect, also against news of peers; slow servers are used only if they beat waiting.

--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -11,6 +11,9 @@
 	// probeInterval is how often a host looks whether a slow or limited server
 	// got better.
 	probeInterval = time.Second
+	// slowPatience is how many median latencies a slow server may take before
+	// waiting for a fast one is preferred.
+	slowPatience = 4
 	// outlierFactor is how many times slower than its pool a server must be to
 	// be looked after by probes.
 	outlierFactor = 3
@@ -35,13 +38,16 @@
 	Pick(replicas []*Replica, tried []*Tracker, now int64) int
 }
 
-// LeastCompletion picks the server with the least expected completion time: the
-// moving average of its latency times the requests that this host has there.
+// LeastCompletion picks the server with the least expected completion time among
+// those with room that are about as fast as their pool. A slow server is picked
+// if there is no other, or if waiting for the others would take longer.
 type LeastCompletion struct{}
 
 // Pick implements Chooser.
 func (LeastCompletion) Pick(replicas []*Replica, tried []*Tracker, now int64) int {
-	best, bestScore := -1, int64(0)
+	fast, slow := -1, -1
+	var fastScore, slowScore int64
+	isWaitPossible := false
 	n := len(replicas)
 	offset := rand.IntN(n)
 	for i := range min(n, scanLimit) {
@@ -50,15 +56,29 @@
 			at -= n
 		}
 		t := replicas[at].tracker
-		if !t.hasRoom(now) || isTried(tried, t) {
+		if t.share.Load() == 0 || !t.isOpen(now) || isTried(tried, t) {
 			continue
 		}
-		score := (t.latency.Load() + 1) * int64(t.inFlight.Load()+1)
-		if best < 0 || score < bestScore {
-			best, bestScore = at, score
+		isSlow := t.isSlow()
+		if !t.hasRoom(now) {
+			isWaitPossible = isWaitPossible || !isSlow
+			continue
+		}
+		score := t.expected(now)
+		switch {
+		case !isSlow && (fast < 0 || score < fastScore):
+			fast, fastScore = at, score
+		case isSlow && (slow < 0 || score < slowScore):
+			slow, slowScore = at, score
 		}
 	}
-	return best
+	if fast >= 0 || slow < 0 {
+		return fast
+	}
+	if isWaitPossible && slowScore > slowPatience*replicas[slow].tracker.load.typical.Load() {
+		return -1
+	}
+	return slow
 }
 
 // TwoChoices picks the less loaded of two random servers.
@@ -97,9 +117,7 @@
 }
 
 func (t *Tracker) hasRoom(now int64) bool {
-	share := t.share.Load()
-	limit := max(share-t.cut.Load(), min(share, 1))
-	return t.inFlight.Load() < limit && t.isOpen(now)
+	return t.inFlight.Load() < t.limit() && t.isOpen(now)
 }
 
 func isTried(tried []*Tracker, t *Tracker) bool {
@@ -125,7 +143,7 @@
 		if at < 0 {
 			break
 		}
-		if replicas[at].tracker.acquire() {
+		if replicas[at].tracker.acquire(now) {
 			return Choice{replica: replicas[at]}, true
 		}
 	}
@@ -133,33 +151,42 @@
 }
 
 // chooseHop picks a server through another host of its subset, one that may use
-// it at the server's present level.
+// it at the server's present level. A host that may use some server of the shard
+// itself waits for that one: a hop would only be refused by a host that is as
+// busy.
 func (s *SnapshotView) chooseHop(replicas []*Replica, tried []*Tracker, now int64) (Choice, bool) {
 	n := len(replicas)
 	offset := rand.IntN(n)
+	hop := -1
 	for i := range n {
-		r := replicas[(offset+i)%n]
-		if len(r.hosts) == 0 || !r.tracker.isOpen(now) || isTried(tried, r.tracker) {
+		at := (offset + i) % n
+		t := replicas[at].tracker
+		if !t.isOpen(now) {
 			continue
 		}
-		// A host with a share of its own that is merely full waits for it
-		// rather than load the others.
-		if r.tracker.share.Load() > 0 {
-			continue
+		if t.share.Load() > 0 {
+			return Choice{}, false
+		}
+		if len(replicas[at].hosts) > 0 && !isTried(tried, t) {
+			hop = at
 		}
-		active := min(len(r.hosts), max(r.tracker.Knowledge().Level, 1))
-		return Choice{replica: r, via: r.hosts[rand.IntN(active)].id}, true
 	}
-	return Choice{}, false
+	if hop < 0 {
+		return Choice{}, false
+	}
+	r := replicas[hop]
+	active := min(len(r.hosts), int(max(r.tracker.level.Load(), 1)))
+	return Choice{replica: r, via: r.hosts[rand.IntN(active)].id}, true
 }
 
 // AcquireFor takes a unit of a server's share for a request of another host.
 func (f *Fleet) AcquireFor(server string) (*Tracker, bool) {
+	now := time.Now().UnixNano()
 	t := f.Tracker(server)
-	if t == nil || !t.isOpen(time.Now().UnixNano()) {
+	if t == nil || !t.isOpen(now) {
 		return nil, false
 	}
-	return t, t.acquire()
+	return t, t.acquire(now)
 }
 
 // ChooseProbe picks a server of a shard that is due for a look: one whose limit
@@ -177,7 +204,7 @@
 		if !s.load.MayHedge() {
 			return Choice{}, false
 		}
-		if t.acquire() {
+		if t.acquire(now) {
 			t.probedAt.Store(now)
 			return Choice{replica: r}, true
 		}
--- a/services/balance/poolload.go
+++ b/services/balance/poolload.go
@@ -1,11 +1,13 @@
 package balance
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/budget"
 	"github.com/godwithatch/godwithatch/modules/quantile"
+	"github.com/godwithatch/godwithatch/services/upstream"
 )
 
 const (
@@ -23,51 +25,49 @@
 	policy    Policy
 	latencies quantile.Estimator
 	extra     *budget.Budget
-	waiting   atomic.Int64
 	typical   atomic.Int64
 	delay     atomic.Int64
 	inFlight  atomic.Int64
-	freed     chan struct{}
 
 	fadedAt time.Time
+
+	mu     sync.Mutex
+	queues map[upstream.Holding]*WaitQueue
 }
 
 func newPoolLoad(policy Policy) *PoolLoad {
 	l := &PoolLoad{
 		policy: policy,
 		extra:  budget.New(policy.HedgeShare, policy.HedgeBurst),
-		freed:  make(chan struct{}, 1),
+		queues: map[upstream.Holding]*WaitQueue{},
 	}
 	l.delay.Store(int64(defaultHedgeDelay))
 	return l
 }
 
-// free wakes one request that waits for a server.
-func (l *PoolLoad) free() {
-	if l.waiting.Load() == 0 {
-		return
-	}
-	select {
-	case l.freed <- struct{}{}:
-	default:
+// queue returns the requests that wait for one shard of a snapshot.
+func (l *PoolLoad) queue(h upstream.Holding) *WaitQueue {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.queues[h]
+	if q == nil {
+		q = &WaitQueue{}
+		l.queues[h] = q
 	}
+	return q
 }
 
-// Freed receives a value when a server may have become free.
-func (l *PoolLoad) Freed() <-chan struct{} { return l.freed }
-
-// EnterQueue counts one request that waits for a server.
-func (l *PoolLoad) EnterQueue() { l.waiting.Add(1) }
-
-// LeaveQueue ends the count and wakes the next one that waits.
-func (l *PoolLoad) LeaveQueue() {
-	l.waiting.Add(-1)
-	l.free()
+// keepQueues forgets the queues of shards that no server holds any more.
+func (l *PoolLoad) keepQueues(held map[upstream.Holding]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for h, q := range l.queues {
+		if !held[h] && q.Len() == 0 {
+			delete(l.queues, h)
+		}
+	}
 }
 
-// Waiting returns how many requests wait for a server.
-func (l *PoolLoad) Waiting() int { return int(l.waiting.Load()) }
-
 // Deposit counts one regular request into the budget of extra ones.
 func (l *PoolLoad) Deposit() { l.extra.Deposit() }
 
@@ -79,7 +79,7 @@
 	if l.policy.HedgeAfter > 0 {
 		return true
 	}
-	return l.waiting.Load() == 0 && l.extra.Withdraw()
+	return l.extra.Withdraw()
 }
 
 // HedgeDelay returns how long to wait for an answer before a backup request.
@@ -88,17 +88,6 @@
 // Typical returns the median latency of the pool, or zero.
 func (l *PoolLoad) Typical() time.Duration { return time.Duration(l.typical.Load()) }
 
-// ExpectedWait returns how long a new request would wait for a server. By
-// Little's law the requests in flight leave at their number over their latency;
-// the rate of the past would tell nothing after a time without load.
-func (l *PoolLoad) ExpectedWait() time.Duration {
-	waiting := l.waiting.Load()
-	if waiting == 0 {
-		return 0
-	}
-	return time.Duration(waiting * l.typical.Load() / max(l.inFlight.Load(), 1))
-}
-
 // tick folds the counters. One controller calls it.
 func (l *PoolLoad) tick(now time.Time) {
 	if median, ok := l.latencies.Quantile(baselineQuantile); ok {
--- a/services/balance/tracker.go
+++ b/services/balance/tracker.go
@@ -39,12 +39,15 @@
 
 	inFlight     atomic.Int32
 	share        atomic.Int32
+	level        atomic.Int32
 	cut          atomic.Int32
 	latency      atomic.Int64
+	progressAt   atomic.Int64
 	blockedUntil atomic.Int64
 	probedAt     atomic.Int64
 	draining     atomic.Bool
 	ramping      atomic.Bool
+	queues       atomic.Pointer[[]*WaitQueue]
 
 	mu        sync.Mutex
 	known     Knowledge
@@ -126,21 +129,46 @@
 		share = 0
 	}
 	t.share.Store(int32(min(share, t.perHost)))
+	t.level.Store(int32(t.known.Level))
 	t.ramping.Store(!t.direct && t.known.Level < FullLevel)
 }
 
 // acquire takes one unit of the share.
-func (t *Tracker) acquire() bool {
-	limit := t.share.Load() - t.cut.Load()
-	if limit < 1 && t.share.Load() > 0 {
-		limit = 1
+func (t *Tracker) acquire(now int64) bool {
+	n := t.inFlight.Add(1)
+	if n > t.limit() {
+		t.inFlight.Add(-1)
+		return false
 	}
-	if t.inFlight.Add(1) <= limit {
-		t.load.inFlight.Add(1)
-		return true
+	if n == 1 {
+		t.progressAt.Store(now)
 	}
-	t.inFlight.Add(-1)
-	return false
+	t.load.inFlight.Add(1)
+	return true
+}
+
+// limit returns how many requests this host may have at the server now.
+func (t *Tracker) limit() int32 {
+	share := t.share.Load()
+	return max(share-t.cut.Load(), min(share, 1))
+}
+
+// expected returns how long one more request would take: the moving average of
+// the latency, or the time since the server last answered if that is longer, for
+// each request that this host has there.
+func (t *Tracker) expected(now int64) int64 {
+	inFlight := int64(t.inFlight.Load())
+	latency := t.latency.Load()
+	if inFlight > 0 {
+		latency = max(latency, now-t.progressAt.Load())
+	}
+	return (latency + 1) * (inFlight + 1)
+}
+
+// isSlow reports whether the server answers much later than its pool does.
+func (t *Tracker) isSlow() bool {
+	typical := t.load.typical.Load()
+	return typical > 0 && t.latency.Load() > slowFactor*typical
 }
 
 func (t *Tracker) isOpen(now int64) bool {
@@ -149,9 +177,19 @@
 
 // Release gives back the unit of the share that a choice took.
 func (t *Tracker) Release() {
+	t.progressAt.Store(time.Now().UnixNano())
 	t.inFlight.Add(-1)
 	t.load.inFlight.Add(-1)
-	t.load.free()
+	t.wakeWaiting()
+}
+
+// wakeWaiting wakes the first request that waits for a shard of the server.
+func (t *Tracker) wakeWaiting() {
+	if queues := t.queues.Load(); queues != nil {
+		for _, q := range *queues {
+			q.wakeFirst()
+		}
+	}
 }
 
 // Succeeded records the latency of an answer and what the server said.
--- a/services/balance/view.go
+++ b/services/balance/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -10,6 +11,9 @@
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
 
+// maxShards bounds the number of shards that a server may claim for a snapshot.
+const maxShards = 1 << 16
+
 // View joins the configuration, the live hosts and what is known of the
 // servers. It is immutable; the trackers behind it are not.
 type View struct {
@@ -52,6 +56,7 @@
 	policy  Policy
 	load    *PoolLoad
 	shards  [][]*Replica
+	queues  []*WaitQueue
 	held    int
 	least   int
 }
@@ -68,6 +73,35 @@
 // Replicas returns the servers of a shard. The slice must not be modified.
 func (s *SnapshotView) Replicas(shard int) []*Replica { return s.shards[shard] }
 
+// Queue returns the requests that wait for a server of a shard.
+func (s *SnapshotView) Queue(shard int) *WaitQueue { return s.queues[shard] }
+
+// ExpectedWait returns how long a new request for a shard would wait for a
+// server. By Little's law the requests in flight leave at their number over
+// their latency; a rate of the past would tell nothing after a time without
+// load.
+func (s *SnapshotView) ExpectedWait(shard int) time.Duration {
+	waiting := s.queues[shard].Len()
+	if waiting == 0 {
+		return 0
+	}
+	inFlight := 1
+	for _, r := range s.shards[shard] {
+		inFlight += r.tracker.InFlight()
+	}
+	return time.Duration(waiting) * s.load.Typical() / time.Duration(inFlight)
+}
+
+// ExpectedWaits returns the mean and the longest wait over all shards.
+func (s *SnapshotView) ExpectedWaits() (mean, longest time.Duration) {
+	for shard := range s.shards {
+		wait := s.ExpectedWait(shard)
+		mean += wait
+		longest = max(longest, wait)
+	}
+	return mean / time.Duration(len(s.shards)), longest
+}
+
 // IsComplete reports whether every shard has a server.
 func (s *SnapshotView) IsComplete() bool { return s.held == len(s.shards) }
 
@@ -97,6 +131,7 @@
 func (f *Fleet) buildPool(t *table.Tables, p *table.Pool, hosts []Host) *PoolView {
 	view := &PoolView{pool: p, load: f.load(p)}
 	byVersion := map[uint64]*SnapshotView{}
+	held := map[upstream.Holding]bool{}
 	for _, u := range p.Upstreams() {
 		tracker := f.tracker(u, view.load)
 		order := f.order(u, hosts)
@@ -111,28 +146,39 @@
 		}
 		others := lo.Filter(order, func(h Host, _ int) bool { return h.id != f.self })
 		replica := &Replica{tracker: tracker, hosts: others}
+		var queues []*WaitQueue
 		for _, h := range tracker.Knowledge().Holdings {
-			f.addReplica(byVersion, view.load, h, replica)
+			if f.addReplica(byVersion, view.load, h, replica) {
+				queues = append(queues, view.load.queue(h))
+				held[h] = true
+			}
 		}
+		tracker.queues.Store(&queues)
 	}
+	view.load.keepQueues(held)
 	view.snapshots = rankSnapshots(lo.Values(byVersion))
 	return view
 }
 
 // addReplica puts a server under the shard that it holds. Holdings that
 // contradict the number of shards of their snapshot are passed over.
-func (f *Fleet) addReplica(byVersion map[uint64]*SnapshotView, load *PoolLoad, h upstream.Holding, r *Replica) {
-	if h.Shards < 1 || h.Shard < 0 || h.Shard >= h.Shards {
-		return
+func (f *Fleet) addReplica(byVersion map[uint64]*SnapshotView, load *PoolLoad, h upstream.Holding, r *Replica) bool {
+	if h.Shards < 1 || h.Shards > maxShards || h.Shard < 0 || h.Shard >= h.Shards {
+		return false
 	}
 	s := byVersion[h.Snapshot]
 	if s == nil {
 		s = &SnapshotView{version: h.Snapshot, policy: f.policy, load: load, shards: make([][]*Replica, h.Shards)}
+		for shard := range h.Shards {
+			s.queues = append(s.queues, load.queue(upstream.Holding{Snapshot: h.Snapshot, Shard: shard, Shards: h.Shards}))
+		}
 		byVersion[h.Snapshot] = s
 	}
-	if len(s.shards) == h.Shards {
-		s.shards[h.Shard] = append(s.shards[h.Shard], r)
+	if len(s.shards) != h.Shards {
+		return false
 	}
+	s.shards[h.Shard] = append(s.shards[h.Shard], r)
+	return true
 }
 
 // rankSnapshots orders snapshots by preference. The newest one wins among those
--- /dev/null
+++ b/services/balance/waitqueue.go
@@ -0,0 +1,89 @@
+package balance
+
+import (
+	"container/list"
+	"sync"
+	"sync/atomic"
+
+	"github.com/godwithatch/godwithatch/services/table"
+)
+
+// priorities lists the priorities of routes, the first served first.
+var priorities = [...]table.Priority{table.High, table.Normal, table.Low}
+
+// WaitQueue holds the requests of one shard that wait for a server with room,
+// by priority and then in order of arrival. The first one stays first until it
+// has found a server, so that no wake-up is lost. The zero value is empty.
+type WaitQueue struct {
+	count atomic.Int32
+	mu    sync.Mutex
+	lists [len(priorities)]list.List
+}
+
+// Waiter is one request in a WaitQueue.
+type Waiter struct {
+	queue    *WaitQueue
+	priority table.Priority
+	element  *list.Element
+	wake     chan struct{}
+}
+
+// Enter adds a request. Leave must follow.
+func (q *WaitQueue) Enter(p table.Priority) *Waiter {
+	w := &Waiter{queue: q, priority: p, wake: make(chan struct{}, 1)}
+	q.count.Add(1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	w.element = q.lists[p].PushBack(w)
+	return w
+}
+
+// Woken receives a value when the request is first and a server may have room.
+func (w *Waiter) Woken() <-chan struct{} { return w.wake }
+
+// IsFirst reports whether no other request is to be served earlier.
+func (w *Waiter) IsFirst() bool {
+	w.queue.mu.Lock()
+	defer w.queue.mu.Unlock()
+	return w.queue.first() == w
+}
+
+// Leave removes the request and wakes the next one.
+func (w *Waiter) Leave() {
+	w.queue.mu.Lock()
+	w.queue.lists[w.priority].Remove(w.element)
+	w.queue.mu.Unlock()
+	w.queue.count.Add(-1)
+	w.queue.wakeFirst()
+}
+
+// Len returns how many requests wait.
+func (q *WaitQueue) Len() int { return int(q.count.Load()) }
+
+// first returns the request to be served next, or nil. The caller holds mu.
+func (q *WaitQueue) first() *Waiter {
+	for _, p := range priorities {
+		if e := q.lists[p].Front(); e != nil {
+			return e.Value.(*Waiter)
+		}
+	}
+	return nil
+}
+
+// wakeFirst wakes the request to be served next. Without waiting requests it
+// takes no lock.
+func (q *WaitQueue) wakeFirst() {
+	if q.count.Load() == 0 {
+		return
+	}
+	q.mu.Lock()
+	first := q.first()
+	q.mu.Unlock()
+	if first == nil {
+		return
+	}
+	select {
+	case first.wake <- struct{}{}:
+	default:
+	}
+}
--- a/services/daemon/status.go
+++ b/services/daemon/status.go
@@ -143,3 +143,6 @@
 	gauge("hosts", "Live hosts of the system.", func() float64 { return float64(len(d.members.Live().Load())) })
 	gauge("in_flight", "Queries in flight.", func() float64 { return float64(d.engine.InFlight()) })
 }
+
+// Fleet returns what this host knows of the servers.
+func (d *Daemon) Fleet() *balance.Fleet { return d.fleet }
--- a/services/peer/transport.go
+++ b/services/peer/transport.go
@@ -81,8 +81,8 @@
 		return nil, fault.Wrap(fault.PeerFailed, fault.NotRun, err, "cannot listen on UDP %s", address)
 	}
 	t := &Transport{
-		keys:    keys,
-		quic:    &quic.Transport{Conn: socket},
+		keys: keys,
+		quic: &quic.Transport{Conn: socket},
 		config: &quic.Config{
 			MaxIdleTimeout:       idleTimeout,
 			KeepAlivePeriod:      keepAlive,
--- a/services/query/engine.go
+++ b/services/query/engine.go
@@ -219,13 +219,23 @@
 	if float64(e.inFlight.Load()) > share*float64(e.opts.MaxInFlight) {
 		return fault.New(fault.Overloaded, fault.NotRun, "%d queries are in flight on this host", e.inFlight.Load())
 	}
+	return e.admitToQueue(route, left)
+}
+
+// admitToQueue refuses a query whose wait for servers would take too much of its
+// time. A route that allows partial answers is judged by the mean of its shards,
+// any other by the longest wait.
+func (e *Engine) admitToQueue(route *table.Route, left time.Duration) error {
 	pool := e.opts.View.Load().Pool(route.Pool())
-	if pool == nil {
+	if pool == nil || pool.Snapshot() == nil {
 		return nil
 	}
-	expected := pool.Load().ExpectedWait() + pool.Load().Typical()
-	if pool.Load().Waiting() > 0 && float64(expected) > share*float64(left) {
-		return fault.New(fault.Overloaded, fault.NotRun, "the wait for a server is %s, the request has %s", expected.Round(time.Millisecond), left.Round(time.Millisecond))
+	wait, longest := pool.Snapshot().ExpectedWaits()
+	if !route.Partial() {
+		wait = longest
+	}
+	if wait > 0 && float64(wait+pool.Load().Typical()) > queueShare(route.Priority())*float64(left) {
+		return fault.New(fault.Overloaded, fault.NotRun, "the wait for a server is %s, the request has %s", wait.Round(time.Millisecond), left.Round(time.Millisecond))
 	}
 	return nil
 }
@@ -242,6 +252,19 @@
 	}
 }
 
+// queueShare is the part of a request's time that the queue may take. Short
+// queues keep the servers' work for requests that will be answered in time.
+func queueShare(p table.Priority) float64 {
+	switch p {
+	case table.High:
+		return 0.6
+	case table.Low:
+		return 0.1
+	default:
+		return 0.25
+	}
+}
+
 // callDeadline is when a server must have started at the latest for its answer
 // to arrive in time.
 func callDeadline(req Request) time.Time {
--- a/services/query/quarantine.go
+++ b/services/query/quarantine.go
@@ -22,20 +22,23 @@
 type Suspect struct {
 	Fingerprint uint64   `cbor:"1,keyasint"`
 	Servers     []string `cbor:"2,keyasint"`
+	// AgeMS is the time since the last crash in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint"`
 }
 
 type suspicion struct {
 	servers map[string]bool
-	until   time.Time
+	crash   time.Time
 	dirty   bool
 }
 
 // Quarantine holds requests suspected of crashing servers. The zero value is
 // empty and ready to use.
 type Quarantine struct {
-	count    atomic.Int64
-	mu       sync.Mutex
-	suspects map[uint64]*suspicion
+	count     atomic.Int64
+	successes successTable
+	mu        sync.Mutex
+	suspects  map[uint64]*suspicion
 }
 
 // IsHeld reports whether requests with a fingerprint are refused.
@@ -49,7 +52,7 @@
 	if s == nil {
 		return false
 	}
-	if time.Now().After(s.until) {
+	if time.Since(s.crash) > quarantineTime || q.successes.isSince(fingerprint, s.crash) {
 		q.remove(fingerprint)
 		return false
 	}
@@ -60,17 +63,22 @@
 func (q *Quarantine) Crashed(fingerprint uint64, servers ...string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.add(fingerprint, servers, true)
+	q.add(fingerprint, servers, time.Now())
 }
 
-// Learn takes in a suspect of another host and reports whether it was news.
+// Learn takes in a suspect of another host and reports whether it was news. A
+// request that succeeded here after the crash is no suspect.
 func (q *Quarantine) Learn(s Suspect) bool {
+	crash := time.Now().Add(-time.Duration(s.AgeMS) * time.Millisecond)
+	if s.AgeMS < 0 || s.AgeMS > quarantineTime.Milliseconds() || q.successes.isSince(s.Fingerprint, crash) {
+		return false
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.add(s.Fingerprint, s.Servers, false)
+	return q.add(s.Fingerprint, s.Servers, crash)
 }
 
-func (q *Quarantine) add(fingerprint uint64, servers []string, extend bool) bool {
+func (q *Quarantine) add(fingerprint uint64, servers []string, crash time.Time) bool {
 	if q.suspects == nil {
 		q.suspects = map[uint64]*suspicion{}
 	}
@@ -85,16 +93,17 @@
 		news = news || !s.servers[server]
 		s.servers[server] = true
 	}
-	if news || extend {
-		s.until = time.Now().Add(quarantineTime)
+	if crash.After(s.crash) {
+		s.crash = crash
 	}
 	s.dirty = s.dirty || news
 	return news
 }
 
-// Cleared records that a request ran to its end on some server, which a request
-// that crashes servers never does.
-func (q *Quarantine) Cleared(fingerprint uint64) {
+// Succeeded records that a request ran to its end on some server, which a
+// request that crashes servers never does.
+func (q *Quarantine) Succeeded(fingerprint uint64) {
+	q.successes.record(fingerprint)
 	if q.count.Load() == 0 {
 		return
 	}
@@ -123,7 +132,7 @@
 			continue
 		}
 		s.dirty = false
-		suspect := Suspect{Fingerprint: fingerprint}
+		suspect := Suspect{Fingerprint: fingerprint, AgeMS: time.Since(s.crash).Milliseconds()}
 		for server := range s.servers {
 			suspect.Servers = append(suspect.Servers, server)
 		}
@@ -152,7 +161,7 @@
 func (c *crashWatch) succeeded() {
 	c.once.Do(func() {
 		close(c.success)
-		c.quarantine.Cleared(c.fingerprint)
+		c.quarantine.Succeeded(c.fingerprint)
 	})
 }
 
--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -12,8 +12,9 @@
 
 const (
 	// queueCheck is how long a request without a server waits at most before it
-	// looks again; a server that gets free wakes it earlier.
-	queueCheck = 5 * time.Millisecond
+	// looks again; a server that gets room wakes it earlier, one whose pause is
+	// over does not.
+	queueCheck = 20 * time.Millisecond
 	// refusalBackoff is the first pause after every server of a shard refused.
 	refusalBackoff = 2 * time.Millisecond
 	// maxBackoff bounds that pause.
@@ -87,23 +88,30 @@
 	return nil
 }
 
+// choose picks a server at once if no other request waits for the shard, and
+// otherwise waits in the order of priority and arrival.
 func (s *shardRun) choose(ctx context.Context) (balance.Choice, error) {
-	if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
-		return choice, nil
+	queue := s.fan.snapshot.Queue(s.shard)
+	if queue.Len() == 0 {
+		if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
+			return choice, nil
+		}
 	}
-	load := s.fan.pool.Load()
-	load.EnterQueue()
-	defer load.LeaveQueue()
-	timer := time.NewTimer(queueCheck)
+	waiter := queue.Enter(s.fan.route.Priority())
+	defer waiter.Leave()
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
-		case <-load.Freed():
+		case <-waiter.Woken():
 		case <-timer.C:
 			timer.Reset(queueCheck)
 		case <-ctx.Done():
 			return balance.Choice{}, s.expired(ctx)
 		}
+		if !waiter.IsFirst() {
+			continue
+		}
 		if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
 			return choice, nil
 		}
