--- a/services/balance/tracker.go
+++ b/services/balance/tracker.go
@@ -14,18 +14,24 @@
 	// latencyWeight is the weight of one observation in the moving average.
 	latencyWeight = 8
 	// growInterval is the shortest time at one level before the next.
-	growInterval = 400 * time.Millisecond
+	growInterval = 250 * time.Millisecond
 	// growSuccesses is the least number of successes at one level.
 	growSuccesses = 3
 	// slowFactor is how many times slower than its pool a server may be while
 	// its limit grows.
 	slowFactor = 2
+	// streakFactor is how many median latencies make an answer very late, and
+	// slowStreakLength how many of those in a row make a server slow.
+	streakFactor     = 3
+	slowStreakLength = 3
 	// resetWindow is the time within which two broken connections count as a
 	// fall.
 	resetWindow = time.Second
 	// firstBackoff and lastBackoff bound the pause after a refused connection.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 2 * time.Second
+	// coolingTime is how long a server without work is taken to stay warm.
+	coolingTime = 2 * time.Second
 	// shareRegrowth is the interval at which a share cut by shedding regrows.
 	shareRegrowth = 200 * time.Millisecond
 )
@@ -43,6 +49,7 @@
 	cut          atomic.Int32
 	latency      atomic.Int64
 	progressAt   atomic.Int64
+	slowStreak   atomic.Int32
 	blockedUntil atomic.Int64
 	probedAt     atomic.Int64
 	draining     atomic.Bool
@@ -58,6 +65,7 @@
 	successes int
 	levelAt   time.Time
 	resetAt   time.Time
+	closedAt  time.Time
 	cutAt     time.Time
 	backoff   time.Duration
 	dirty     bool
@@ -115,6 +123,22 @@
 	t.computeShare()
 }
 
+// accept records whether operators let the server take new work. A server that
+// returns after a time without work may be cold, so its limit starts again.
+func (t *Tracker) accept(accepts bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !accepts && t.closedAt.IsZero():
+		t.closedAt = time.Now()
+	case accepts && !t.closedAt.IsZero():
+		if time.Since(t.closedAt) > coolingTime {
+			t.fall(1)
+		}
+		t.closedAt = time.Time{}
+	}
+}
+
 // computeShare spreads the level over the hosts of the subset, the first ones
 // getting the rest of the division. The caller holds mu.
 func (t *Tracker) computeShare() {
@@ -168,7 +192,10 @@
 // isSlow reports whether the server answers much later than its pool does.
 func (t *Tracker) isSlow() bool {
 	typical := t.load.typical.Load()
-	return typical > 0 && t.latency.Load() > slowFactor*typical
+	if typical == 0 {
+		return false
+	}
+	return t.latency.Load() > slowFactor*typical || t.slowStreak.Load() >= slowStreakLength
 }
 
 func (t *Tracker) isOpen(now int64) bool {
@@ -214,6 +241,7 @@
 }
 
 func (t *Tracker) observeLatency(d time.Duration) {
+	t.observeStreak(int64(d))
 	for {
 		old := t.latency.Load()
 		next := old + (int64(d)-old)/latencyWeight
@@ -226,6 +254,20 @@
 	}
 }
 
+// observeStreak counts answers in a row that came very late. A server that turns
+// cold shows it by a few of them, long before the average does.
+func (t *Tracker) observeStreak(latency int64) {
+	typical := t.load.typical.Load()
+	switch {
+	case typical == 0 || latency < slowFactor*typical:
+		if t.slowStreak.Load() != 0 {
+			t.slowStreak.Store(0)
+		}
+	case latency > streakFactor*typical:
+		t.slowStreak.Add(1)
+	}
+}
+
 // Unreachable records a refused connection: the server has fallen.
 func (t *Tracker) Unreachable(now time.Time) {
 	t.mu.Lock()
--- a/services/balance/view.go
+++ b/services/balance/view.go
@@ -141,7 +141,9 @@
 		}
 		perHost := max(p.Connections()/max(len(order), 1), 1)
 		tracker.place(rank, len(order), perHost, f.policy.Direct)
-		if !t.AcceptsWork(u) || tracker.draining.Load() {
+		accepts := t.AcceptsWork(u) && !tracker.draining.Load()
+		tracker.accept(accepts)
+		if !accepts {
 			continue
 		}
 		others := lo.Filter(order, func(h Host, _ int) bool { return h.id != f.self })
