At most once: keys are claimed by conditional writes before anything is sent

Cause: non-idempotent routes refused every request; nothing kept copies of one key through two hosts apart. Change: services/claim; the owner of a bucket gathers claims, any host may act for it, and the store's versions decide. Unknown outcomes are written again until known. A resend gets the holder's answer, or 'outcome unknown'. Seen to fail: claims off -> 'key 0 ran 2 times' in the first check; unconditional write -> TestOneHolder 'key 0 is held by 10 and 2'; retrying unknown outcomes -> TestKeysRunAtMostOnce fails within 100 checks. While the store is down, keyed requests are refused as unknown.

--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/godwithatch/godwithatch/modules/broadcast"
 	"github.com/godwithatch/godwithatch/modules/setting"
 	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/configuration"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/peer"
@@ -55,6 +56,7 @@
 	peers     Peers
 	transport *peer.Transport
 	fleet     *balance.Fleet
+	claims    *claim.Service
 	engine    *query.Engine
 	registry  *prometheus.Registry
 
@@ -73,7 +75,8 @@
 	Forward(ctx context.Context, to membership.Member, server string, call upstream.Call) (*upstream.Answer, error)
 	Configuration(ctx context.Context, from membership.Member) ([]byte, error)
 	Knowledge(ctx context.Context, from membership.Member) (peer.Exchange, error)
-	Result(ctx context.Context, from membership.Member, key string) ([]byte, error)
+	Result(ctx context.Context, from membership.Member, nonce string) ([]byte, error)
+	Claim(ctx context.Context, owner membership.Member, req claim.Request) (claim.Reply, error)
 }
 
 // Parts are the daemon's ways to its peers, servers and the platform, and its
@@ -129,6 +132,7 @@
 	do.ProvideValue(injector, parts.Policy)
 	do.Provide(injector, provideFleet)
 	do.Provide(injector, provideMembership)
+	do.Provide(injector, provideClaims)
 	do.Provide(injector, provideEngine)
 	var err error
 	if d.fleet, err = do.Invoke[*balance.Fleet](injector); err != nil {
@@ -137,6 +141,9 @@
 	if d.members, err = do.Invoke[*membership.Membership](injector); err != nil {
 		return nil, err
 	}
+	if d.claims, err = do.Invoke[*claim.Service](injector); err != nil {
+		return nil, err
+	}
 	if d.engine, err = do.Invoke[*query.Engine](injector); err != nil {
 		return nil, err
 	}
@@ -161,6 +168,18 @@
 	return membership.New(self, prober{d}, membership.Options{Heartbeat: d.cfg.Peer().Heartbeat()}), nil
 }
 
+func provideClaims(i do.Injector) (*claim.Service, error) {
+	d := do.MustInvoke[*Daemon](i)
+	return claim.NewService(claim.Options{
+		Self:    d.cfg.Host(),
+		Boot:    strconv.FormatUint(d.boot, 36),
+		Store:   d.store,
+		Peers:   claimPeers{d},
+		Buckets: d.cfg.Balance().ClaimBuckets(),
+		Owner:   d.claimOwner,
+	}), nil
+}
+
 func provideEngine(i do.Injector) (*query.Engine, error) {
 	d := do.MustInvoke[*Daemon](i)
 	return query.NewEngine(query.Options{
@@ -170,6 +189,7 @@
 		Fleet:       do.MustInvoke[*balance.Fleet](i),
 		Server:      d.servers,
 		Forwarder:   forwarder{d},
+		Claimer:     do.MustInvoke[*claim.Service](i),
 		MaxInFlight: d.cfg.Caller().MaxInFlight(),
 	}), nil
 }
--- a/services/daemon/handler.go
+++ b/services/daemon/handler.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/rendezvous"
+	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/peer"
+	"github.com/godwithatch/godwithatch/services/query"
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
 
@@ -164,4 +168,52 @@
 }
 
 // OnResult implements peer.Handler.
-func (h *handler) OnResult(string) []byte { return nil }
+func (h *handler) OnResult(ctx context.Context, nonce string) ([]byte, error) {
+	result, err := h.d.claims.Result(ctx, nonce)
+	if err != nil || result == nil {
+		return nil, err
+	}
+	return query.EncodeResult(result)
+}
+
+// OnClaim implements peer.Handler.
+func (h *handler) OnClaim(ctx context.Context, req claim.Request) (claim.Reply, error) {
+	return h.d.claims.Serve(ctx, req)
+}
+
+// claimPeers reaches other hosts for claims.
+type claimPeers struct{ d *Daemon }
+
+// Claim implements claim.Peers.
+func (c claimPeers) Claim(ctx context.Context, owner string, req claim.Request) (claim.Reply, error) {
+	m, ok := c.d.members.Find(owner)
+	if !ok {
+		return claim.Reply{}, fault.New(fault.PeerFailed, fault.NotRun, "host %q is not known", owner)
+	}
+	return c.d.peers.Claim(ctx, m, req)
+}
+
+// Result implements claim.Peers.
+func (c claimPeers) Result(ctx context.Context, holder, nonce string) (*query.Result, error) {
+	m, ok := c.d.members.Find(holder)
+	if !ok {
+		return nil, fault.New(fault.PeerFailed, fault.NotRun, "host %q is not known", holder)
+	}
+	document, err := c.d.peers.Result(ctx, m, nonce)
+	if err != nil || document == nil {
+		return nil, err
+	}
+	return query.DecodeResult(document)
+}
+
+// claimOwner returns the live host that writes for a bucket of keys.
+func (d *Daemon) claimOwner(bucket int) string {
+	key := "claims/" + strconv.Itoa(bucket)
+	owner, highest := "", uint64(0)
+	for _, m := range d.members.Live().Load() {
+		if w := rendezvous.Weight(key, m.ID); owner == "" || w > highest {
+			owner, highest = m.ID, w
+		}
+	}
+	return owner
+}
--- a/services/peer/kind_enumer.go
+++ b/services/peer/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "exchangeprobeforwardconfigurationknowledgeresult"
+const _KindName = "exchangeprobeforwardconfigurationknowledgeresultclaim"
 
-var _KindIndex = [...]uint8{0, 8, 13, 20, 33, 42, 48}
+var _KindIndex = [...]uint8{0, 8, 13, 20, 33, 42, 48, 53}
 
-const _KindLowerName = "exchangeprobeforwardconfigurationknowledgeresult"
+const _KindLowerName = "exchangeprobeforwardconfigurationknowledgeresultclaim"
 
 func (i Kind) String() string {
 	i -= 1
@@ -31,9 +31,10 @@
 	_ = x[KindConfiguration-(4)]
 	_ = x[KindKnowledge-(5)]
 	_ = x[KindResult-(6)]
+	_ = x[KindClaim-(7)]
 }
 
-var _KindValues = []Kind{KindExchange, KindProbe, KindForward, KindConfiguration, KindKnowledge, KindResult}
+var _KindValues = []Kind{KindExchange, KindProbe, KindForward, KindConfiguration, KindKnowledge, KindResult, KindClaim}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:   KindExchange,
@@ -42,6 +43,7 @@
 	_KindName[20:33]: KindConfiguration,
 	_KindName[33:42]: KindKnowledge,
 	_KindName[42:48]: KindResult,
+	_KindName[48:53]: KindClaim,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -51,6 +53,7 @@
 	_KindLowerName[20:33]: KindConfiguration,
 	_KindLowerName[33:42]: KindKnowledge,
 	_KindLowerName[42:48]: KindResult,
+	_KindLowerName[48:53]: KindClaim,
 }
 
 var _KindNames = []string{
@@ -60,6 +63,7 @@
 	_KindName[20:33],
 	_KindName[33:42],
 	_KindName[42:48],
+	_KindName[48:53],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -21,6 +21,7 @@
 	"context"
 
 	"github.com/godwithatch/godwithatch/services/balance"
+	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/query"
 	"github.com/godwithatch/godwithatch/services/upstream"
@@ -37,6 +38,7 @@
 	KindConfiguration
 	KindKnowledge
 	KindResult
+	KindClaim
 )
 
 //go:generate ../../.bin/enumer -type=Kind -trimprefix=Kind -transform=snake -output=kind_enumer.go
@@ -81,6 +83,8 @@
 	OnConfiguration() []byte
 	// OnKnowledge returns what this host knows of all servers and all hosts.
 	OnKnowledge() Exchange
-	// OnResult returns the kept answer to a key, or nil.
-	OnResult(key string) []byte
+	// OnResult waits for the answer of an attempt with a key, which may be nil.
+	OnResult(ctx context.Context, nonce string) ([]byte, error)
+	// OnClaim claims a key, or gives it back, for another host.
+	OnClaim(ctx context.Context, req claim.Request) (claim.Reply, error)
 }
--- a/services/peer/transport.go
+++ b/services/peer/transport.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
@@ -176,7 +177,17 @@
 		news := t.handler.OnKnowledge()
 		return &response{Exchange: &news}
 	case req.Kind == KindResult:
-		return &response{Document: t.handler.OnResult(req.Key)}
+		document, err := t.handler.OnResult(ctx, req.Nonce)
+		if err != nil {
+			return faultResponse(err)
+		}
+		return &response{Document: document}
+	case req.Kind == KindClaim && req.Claim != nil:
+		reply, err := t.handler.OnClaim(ctx, *req.Claim)
+		if err != nil {
+			return faultResponse(err)
+		}
+		return &response{Claim: &reply}
 	default:
 		return faultResponse(fault.New(fault.MalformedBody, fault.NotRun, "request kind %d has no body", req.Kind))
 	}
@@ -263,15 +274,28 @@
 	return *resp.Exchange, nil
 }
 
-// Result returns the kept answer of a host to a key, or nil.
-func (t *Transport) Result(ctx context.Context, from membership.Member, key string) ([]byte, error) {
-	resp, err := t.do(ctx, from, &request{Kind: KindResult, Key: key})
+// Result waits for the answer of an attempt with a key through a host, which may
+// be nil.
+func (t *Transport) Result(ctx context.Context, from membership.Member, nonce string) ([]byte, error) {
+	resp, err := t.do(ctx, from, &request{Kind: KindResult, Nonce: nonce})
 	if err != nil {
 		return nil, err
 	}
 	return resp.Document, nil
 }
 
+// Claim passes a claim to the owner of its bucket.
+func (t *Transport) Claim(ctx context.Context, owner membership.Member, req claim.Request) (claim.Reply, error) {
+	resp, err := t.do(ctx, owner, &request{Kind: KindClaim, Claim: &req})
+	if err != nil {
+		return claim.Reply{}, err
+	}
+	if resp.Claim == nil {
+		return claim.Reply{}, fault.New(fault.CorruptReply, fault.Unknown, "host %q sent no claim", owner.ID)
+	}
+	return *resp.Claim, nil
+}
+
 // do sends one request on a stream of its own and reads the answer.
 func (t *Transport) do(ctx context.Context, to membership.Member, req *request) (*response, error) {
 	t.counters.Requests.Add(1)
--- a/services/peer/wire.go
+++ b/services/peer/wire.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
@@ -20,7 +21,8 @@
 	Exchange *Exchange          `cbor:"2,keyasint,omitempty"`
 	Target   *membership.Member `cbor:"3,keyasint,omitempty"`
 	Forward  *forward           `cbor:"4,keyasint,omitempty"`
-	Key      string             `cbor:"5,keyasint,omitempty"`
+	Nonce    string             `cbor:"5,keyasint,omitempty"`
+	Claim    *claim.Request     `cbor:"6,keyasint,omitempty"`
 }
 
 type forward struct {
@@ -42,6 +44,7 @@
 	Results  []byte            `cbor:"5,keyasint,omitempty"`
 	Digest   uint64            `cbor:"6,keyasint,omitempty"`
 	Document []byte            `cbor:"7,keyasint,omitempty"`
+	Claim    *claim.Reply      `cbor:"8,keyasint,omitempty"`
 }
 
 type wireFault struct {
--- a/services/query/query.go
+++ b/services/query/query.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/godwithatch/godwithatch/modules/blackboard"
 	"github.com/godwithatch/godwithatch/modules/fault"
@@ -91,6 +92,28 @@
 // Shards returns the parts of the answer in the order of their shards.
 func (r *Result) Shards() []ShardResult { return r.shards }
 
+type resultWire struct {
+	Pool     string        `cbor:"1,keyasint"`
+	Snapshot uint64        `cbor:"2,keyasint"`
+	Total    int           `cbor:"3,keyasint"`
+	Missing  []int         `cbor:"4,keyasint"`
+	Shards   []ShardResult `cbor:"5,keyasint"`
+}
+
+// EncodeResult returns a result as hosts pass it to each other.
+func EncodeResult(r *Result) ([]byte, error) {
+	return cbor.Marshal(resultWire{r.pool, r.snapshot, r.total, r.missing, r.shards})
+}
+
+// DecodeResult reads what EncodeResult wrote.
+func DecodeResult(body []byte) (*Result, error) {
+	var w resultWire
+	if err := cbor.Unmarshal(body, &w); err != nil {
+		return nil, fault.Wrap(fault.CorruptReply, fault.Unknown, err, "the kept answer cannot be read")
+	}
+	return &Result{w.Pool, w.Snapshot, w.Total, w.Missing, w.Shards}, nil
+}
+
 // Forwarder passes a call to another host of a server's subset.
 type Forwarder interface {
 	Forward(ctx context.Context, host, server string, call upstream.Call) (*upstream.Answer, error)
--- a/tests/standin/world/load.go
+++ b/tests/standin/world/load.go
@@ -87,6 +87,18 @@
 	return o
 }
 
+// Submit sends one request through a daemon.
+func (w *World) Submit(i int, route, key, payload string, timeout time.Duration) (*query.Result, *fault.Fault) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req := query.NewRequest(route, []byte(payload), time.Now().Add(timeout)).WithKey(key)
+	result, err := w.Node(i).Daemon.Engine().Run(ctx, req)
+	if err != nil {
+		return nil, fault.From(err)
+	}
+	return result, nil
+}
+
 // Summary is what a set of outcomes comes to.
 type Summary struct {
 	Asked, Whole, Partial, Refused, Failed int
--- a/tests/standin/world/network.go
+++ b/tests/standin/world/network.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/peer"
 	"github.com/godwithatch/godwithatch/services/table"
@@ -123,12 +124,29 @@
 }
 
 // Result implements daemon.Peers.
-func (p *peers) Result(ctx context.Context, from membership.Member, key string) ([]byte, error) {
+func (p *peers) Result(ctx context.Context, from membership.Member, nonce string) ([]byte, error) {
 	h, err := p.reach(ctx, from)
 	if err != nil {
 		return nil, err
 	}
-	return h.OnResult(key), p.back(ctx, from.ID)
+	document, err := h.OnResult(ctx, nonce)
+	if lost := p.back(ctx, from.ID); lost != nil {
+		return nil, lost
+	}
+	return document, err
+}
+
+// Claim implements daemon.Peers.
+func (p *peers) Claim(ctx context.Context, owner membership.Member, req claim.Request) (claim.Reply, error) {
+	h, err := p.reach(ctx, owner)
+	if err != nil {
+		return claim.Reply{}, err
+	}
+	reply, err := h.OnClaim(ctx, req)
+	if lost := p.back(ctx, owner.ID); lost != nil {
+		return claim.Reply{}, lost
+	}
+	return reply, err
 }
 
 // servers is the fake network between a host and the servers.
--- a/tests/standin/world/world.go
+++ b/tests/standin/world/world.go
@@ -201,8 +201,11 @@
 	}
 }
 
-// StartNode starts or restarts one daemon.
+// StartNode starts one daemon, or starts one again that was killed.
 func (w *World) StartNode(i int) *Node {
+	if n := w.Node(i); n != nil && !n.down {
+		return n
+	}
 	dc := w.Config.DataCentres[i%len(w.Config.DataCentres)]
 	text := fmt.Sprintf("[host]\nID=%s\nDATA_CENTRE=%s\n[caller]\nLISTEN=127.1.0.%d:8080\n[operator]\nLISTEN=127.1.0.%d:8081\n"+
 		"[peer]\nLISTEN=%s\nCA_FILE=/dev/null\nCERT_FILE=/dev/null\nKEY_FILE=/dev/null\nHEARTBEAT=%s\n[platform]\nADDRESS=127.0.0.2:9000\n",
