Moves between pools by evidence, with schedule, stop mark and warming

Cause: the moves table was read but no traffic moved. Ruled out, each by a trial of make measure -only Moves: growth of limits by the first host's own successes (30 s of warming at 120 queries/s were not enough, since it saw an eighth of them and judged by its own stale latency); successes in the gossiped record (two hosts' at once overwrite each other: 19 stuck for 5 s); failures by whole queries (a version that failed half its requests took 5 s to show, since retries hid it; by requests 0.2 to 0.7 s); tolerated slowdown of 1.25 and 1.35 (good versions 10 % slower were taken back, 4 of 10 at 1.35). Change: services/move. Steps with growing shares taken by one host by rendezvous hashing, joined as the highest step and any stop; evidence by route from both pools at the same time over 2, 6 and 30 s; copies of idempotent queries warm the new pool before the trial; a query that fails on the new pool runs again on the old one. Successes at limited servers are told to the first host of the subset.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -32,6 +32,9 @@
 		for pool, snapshot := range s.Snapshots {
 			fmt.Fprintf(w, "pool        %s snapshot %d\n", pool, snapshot)
 		}
+		for _, m := range s.Moves {
+			fmt.Fprintf(w, "move        %s: %s, share %.2f %s\n", m.Move, m.State, m.Share, m.Reason)
+		}
 		for _, p := range s.Tables.Problems {
 			fmt.Fprintf(w, "problem     %s\n", p.Error())
 		}
--- a/services/balance/balance.go
+++ b/services/balance/balance.go
@@ -219,6 +219,15 @@
 	return t.learn(k)
 }
 
+// LearnCredits counts successes that other hosts had.
+func (f *Fleet) LearnCredits(list []Credit) {
+	for _, c := range list {
+		if t := f.Tracker(c.Server); t != nil {
+			t.addCredit(c)
+		}
+	}
+}
+
 // Observed takes in what a server said of itself.
 func (f *Fleet) Observed(id string, s upstream.State) {
 	if t := f.Tracker(id); t != nil {
--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -174,8 +174,40 @@
 	if hop < 0 {
 		return Choice{}, false
 	}
-	r := replicas[hop]
+	return replicas[hop].hop()
+}
+
+// ChooseLimited picks the server of a shard with the lowest limit, for a request
+// that is meant to warm it. It reports false if no server is limited or none has
+// room.
+func (s *SnapshotView) ChooseLimited(shard int, tried []*Tracker) (Choice, bool) {
+	now := time.Now().UnixNano()
+	var lowest *Replica
+	for _, r := range s.shards[shard] {
+		t := r.tracker
+		if !t.ramping.Load() || !t.isOpen(now) || isTried(tried, t) {
+			continue
+		}
+		if lowest == nil || t.level.Load() < lowest.tracker.level.Load() {
+			lowest = r
+		}
+	}
+	switch {
+	case lowest == nil:
+		return Choice{}, false
+	case lowest.tracker.share.Load() > 0:
+		return Choice{replica: lowest}, lowest.tracker.acquire(now)
+	default:
+		return lowest.hop()
+	}
+}
+
+// hop passes a request to one of the hosts that may use the server at its level.
+func (r *Replica) hop() (Choice, bool) {
 	active := min(len(r.hosts), int(max(r.tracker.level.Load(), 1)))
+	if active == 0 {
+		return Choice{}, false
+	}
 	return Choice{replica: r, via: r.hosts[rand.IntN(active)].id}, true
 }
 
--- a/services/balance/knowledge.go
+++ b/services/balance/knowledge.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"time"
+
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
 
@@ -20,6 +22,16 @@
 	Draining bool               `cbor:"7,keyasint,omitempty"`
 }
 
+// Credit is what a host tells the first one of a server's subset of its successes
+// there, since that host alone lets the limit grow.
+type Credit struct {
+	Server    string `cbor:"1,keyasint"`
+	Epoch     uint64 `cbor:"2,keyasint"`
+	Successes int    `cbor:"3,keyasint"`
+	// Time sums the latencies of the successes.
+	Time time.Duration `cbor:"4,keyasint"`
+}
+
 // newer reports whether k replaces old. Among records of equal rank the lower
 // level wins, which is the safe side, so that all hosts settle on one.
 func (k Knowledge) newer(old Knowledge) bool {
--- a/services/balance/tracker.go
+++ b/services/balance/tracker.go
@@ -15,8 +15,10 @@
 	latencyWeight = 8
 	// growInterval is the shortest time at one level before the next.
 	growInterval = 250 * time.Millisecond
-	// growSuccesses is the least number of successes at one level.
-	growSuccesses = 3
+	// minimumCredits and maximumCredits bound the successes of all hosts that
+	// one level needs; between them it is the level itself.
+	minimumCredits = 3
+	maximumCredits = 24
 	// slowFactor is how many times slower than its pool a server may be while
 	// its limit grows.
 	slowFactor = 2
@@ -58,17 +60,20 @@
 
 	mu        sync.Mutex
 	known     Knowledge
+	first     string
 	rank      int
 	hosts     int
 	perHost   int
 	direct    bool
 	successes int
-	levelAt   time.Time
-	resetAt   time.Time
-	closedAt  time.Time
-	cutAt     time.Time
-	backoff   time.Duration
-	dirty     bool
+	// successTime sums the latencies of the successes.
+	successTime time.Duration
+	levelAt     time.Time
+	resetAt     time.Time
+	closedAt    time.Time
+	cutAt       time.Time
+	backoff     time.Duration
+	dirty       bool
 }
 
 func newTracker(u *table.Upstream, load *PoolLoad, notify func()) *Tracker {
@@ -114,11 +119,12 @@
 	return t.known, changed
 }
 
-// place sets the rank of this host among the hosts of the server's subset, and
-// the connections that each may use.
-func (t *Tracker) place(rank, hosts, perHost int, direct bool) {
+// place sets the first host of the server's subset, the rank of this host in it, and the
+// connections that each host may use.
+func (t *Tracker) place(first string, rank, hosts, perHost int, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.first = first
 	t.rank, t.hosts, t.perHost, t.direct = rank, hosts, perHost, direct
 	t.computeShare()
 }
@@ -226,6 +232,7 @@
 	if t.ramping.Load() {
 		t.mu.Lock()
 		t.successes++
+		t.successTime += d
 		t.backoff = 0
 		t.mu.Unlock()
 	}
@@ -314,7 +321,7 @@
 // already as low stays in its epoch, so that many failures of one fall do not
 // start many epochs.
 func (t *Tracker) fall(level int) {
-	t.successes = 0
+	t.successes, t.successTime = 0, 0
 	t.levelAt = time.Now()
 	if t.known.Level <= level {
 		return
@@ -328,7 +335,7 @@
 func (t *Tracker) setLevel(level int) {
 	t.known.Level = level
 	t.levelAt = time.Now()
-	t.successes = 0
+	t.successes, t.successTime = 0, 0
 	t.dirty = true
 	t.computeShare()
 }
@@ -385,11 +392,13 @@
 	if !k.newer(t.known) {
 		return false
 	}
+	if k.Level != t.known.Level || k.Epoch != t.known.Epoch {
+		t.levelAt = time.Now()
+		t.successes, t.successTime = 0, 0
+	}
 	rebuild := !slices.Equal(k.Holdings, t.known.Holdings) || k.Draining != t.known.Draining
 	t.known = k
 	t.draining.Store(k.Draining)
-	t.levelAt = time.Now()
-	t.successes = 0
 	t.dirty = true
 	t.computeShare()
 	if rebuild {
@@ -425,15 +434,41 @@
 	t.setLevel(level)
 }
 
+// TakeCredit returns the successes of this host at a limited server and the host
+// to tell, and forgets them. It reports false if there is nothing to tell.
+func (t *Tracker) TakeCredit() (string, Credit, bool) {
+	if !t.ramping.Load() {
+		return "", Credit{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.successes == 0 || t.rank == 0 || t.first == "" {
+		return "", Credit{}, false
+	}
+	c := Credit{t.known.Server, t.known.Epoch, t.successes, t.successTime}
+	t.successes, t.successTime = 0, 0
+	return t.first, c, true
+}
+
+// addCredit counts the successes of another host.
+func (t *Tracker) addCredit(c Credit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.Epoch == t.known.Epoch && c.Successes > 0 && c.Time > 0 {
+		t.successes += c.Successes
+		t.successTime += c.Time
+	}
+}
+
+// mayGrow reports whether the level has lasted and proved itself. The caller
+// holds mu.
 func (t *Tracker) mayGrow(now time.Time) bool {
 	if now.Sub(t.levelAt) < growInterval {
 		return false
 	}
-	if t.successes < max(growSuccesses, min(2*t.share64(), 20)) {
+	if t.successes < min(max(minimumCredits, t.known.Level), maximumCredits) {
 		return false
 	}
-	typical := t.load.typical.Load()
-	return typical == 0 || t.latency.Load() <= slowFactor*typical
+	typical := t.load.Typical()
+	return typical == 0 || t.successTime <= slowFactor*typical*time.Duration(t.successes)
 }
-
-func (t *Tracker) share64() int { return int(t.share.Load()) }
--- a/services/balance/view.go
+++ b/services/balance/view.go
@@ -42,6 +42,7 @@
 	pool      *table.Pool
 	load      *PoolLoad
 	snapshots []*SnapshotView
+	trackers  []*Tracker
 }
 
 // Load returns the load of the pool.
@@ -50,6 +51,16 @@
 // Pool returns the row of the pool.
 func (p *PoolView) Pool() *table.Pool { return p.pool }
 
+// warmShare is the share of a pool's servers without a limit from which the pool
+// counts as warm; one server that is down must not hold up the rest.
+const warmShare = 0.75
+
+// IsWarm reports whether most servers of the pool take their full load.
+func (p *PoolView) IsWarm() bool {
+	full := lo.CountBy(p.trackers, func(t *Tracker) bool { return !t.ramping.Load() || t.level.Load() >= FullLevel })
+	return float64(full) >= warmShare*float64(len(p.trackers))
+}
+
 // SnapshotView is one snapshot of a pool with the replicas of each shard.
 type SnapshotView struct {
 	version uint64
@@ -140,7 +151,12 @@
 			rank = len(order)
 		}
 		perHost := max(p.Connections()/max(len(order), 1), 1)
-		tracker.place(rank, len(order), perHost, f.policy.Direct)
+		first := ""
+		if len(order) > 0 {
+			first = order[0].id
+		}
+		tracker.place(first, rank, len(order), perHost, f.policy.Direct)
+		view.trackers = append(view.trackers, tracker)
 		accepts := t.AcceptsWork(u) && !tracker.draining.Load()
 		tracker.accept(accepts)
 		if !accepts {
--- a/services/daemon/controllers.go
+++ b/services/daemon/controllers.go
@@ -12,6 +12,7 @@
 	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/configuration"
 	"github.com/godwithatch/godwithatch/services/membership"
+	"github.com/godwithatch/godwithatch/services/peer"
 	"github.com/godwithatch/godwithatch/services/platform"
 	"github.com/godwithatch/godwithatch/services/table"
 )
@@ -19,6 +20,7 @@
 const (
 	foldInterval   = 100 * time.Millisecond
 	stateInterval  = time.Second
+	creditInterval = 200 * time.Millisecond
 	statusInterval = 2 * time.Second
 	// stateTimeout bounds one question to a server for its state.
 	stateTimeout = 500 * time.Millisecond
@@ -36,8 +38,10 @@
 	d.wg.Go(func() { d.runHostList(ctx) })
 	d.wg.Go(func() { d.runView(ctx) })
 	d.wg.Go(func() { d.runFold(ctx) })
+	d.wg.Go(func() { d.runCredits(ctx) })
 	d.wg.Go(func() { d.runStates(ctx) })
 	d.wg.Go(func() { d.runAnnounce(ctx) })
+	d.wg.Go(func() { d.runMoves(ctx) })
 	d.wg.Go(func() { d.runStatus(ctx) })
 	d.wg.Go(func() { d.runReadiness(ctx) })
 	follower := &configuration.Follower{
@@ -178,6 +182,36 @@
 	})
 }
 
+// runCredits tells the first hosts of limited servers of this host's successes.
+func (d *Daemon) runCredits(ctx context.Context) {
+	every(ctx, creditInterval, func() {
+		credits := map[string][]balance.Credit{}
+		for _, t := range d.fleet.Trackers() {
+			if first, c, ok := t.TakeCredit(); ok {
+				credits[first] = append(credits[first], c)
+			}
+		}
+		for first, list := range credits {
+			m, ok := d.members.Find(first)
+			if !ok {
+				continue
+			}
+			news := d.news()
+			news.Credits = list
+			go d.tell(ctx, m, news)
+		}
+	})
+}
+
+// tell gives news to a host and takes in its own.
+func (d *Daemon) tell(ctx context.Context, to membership.Member, news peer.Exchange) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Peer().Heartbeat())
+	defer cancel()
+	if reply, err := d.peers.Exchange(ctx, to, news); err == nil {
+		d.learn(reply)
+	}
+}
+
 // runStates asks each server for its state, one host for each server: the first
 // of its subset. The rest learn it from that host and from replies.
 func (d *Daemon) runStates(ctx context.Context) {
@@ -203,7 +237,7 @@
 	var generation uint64
 	every(ctx, foldInterval, func() {
 		current := d.keeper.Generation()
-		if current == generation && d.knowledge.Len() == 0 && d.suspects.Len() == 0 {
+		if current == generation && d.knowledge.Len() == 0 && d.suspects.Len() == 0 && d.progress.Len() == 0 {
 			return
 		}
 		generation = current
@@ -229,6 +263,7 @@
 		if d.acceptorRank() != 0 || d.keeper.Generation() == 0 {
 			return
 		}
+		_ = d.saveMoves(ctx)
 		_ = configuration.PutStatus(ctx, d.store, d.statusObject())
 	})
 }
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/configuration"
 	"github.com/godwithatch/godwithatch/services/membership"
+	"github.com/godwithatch/godwithatch/services/move"
 	"github.com/godwithatch/godwithatch/services/peer"
 	"github.com/godwithatch/godwithatch/services/platform"
 	"github.com/godwithatch/godwithatch/services/query"
@@ -49,6 +50,7 @@
 	hostList  blackboard.Section[[]membership.Member]
 	knowledge broadcast.Queue[string, balance.Knowledge]
 	suspects  broadcast.Queue[uint64, query.Suspect]
+	progress  broadcast.Queue[string, move.Progress]
 
 	store     platform.Store
 	servers   upstream.Server
@@ -57,6 +59,7 @@
 	transport *peer.Transport
 	fleet     *balance.Fleet
 	claims    *claim.Service
+	mover     *move.Mover
 	engine    *query.Engine
 	registry  *prometheus.Registry
 
@@ -133,6 +136,7 @@
 	do.Provide(injector, provideFleet)
 	do.Provide(injector, provideMembership)
 	do.Provide(injector, provideClaims)
+	do.Provide(injector, provideMover)
 	do.Provide(injector, provideEngine)
 	var err error
 	if d.fleet, err = do.Invoke[*balance.Fleet](injector); err != nil {
@@ -144,6 +148,9 @@
 	if d.claims, err = do.Invoke[*claim.Service](injector); err != nil {
 		return nil, err
 	}
+	if d.mover, err = do.Invoke[*move.Mover](injector); err != nil {
+		return nil, err
+	}
 	if d.engine, err = do.Invoke[*query.Engine](injector); err != nil {
 		return nil, err
 	}
@@ -180,6 +187,16 @@
 	}), nil
 }
 
+func provideMover(i do.Injector) (*move.Mover, error) {
+	d := do.MustInvoke[*Daemon](i)
+	return move.NewMover(move.Options{
+		Host:   d.cfg.Host(),
+		Boot:   d.boot,
+		Hosts:  func() []string { return sortedIDs(d.members.Live().Load()) },
+		Health: d.poolHealth,
+	}), nil
+}
+
 func provideEngine(i do.Injector) (*query.Engine, error) {
 	d := do.MustInvoke[*Daemon](i)
 	return query.NewEngine(query.Options{
@@ -190,6 +207,7 @@
 		Server:      d.servers,
 		Forwarder:   forwarder{d},
 		Claimer:     do.MustInvoke[*claim.Service](i),
+		Director:    do.MustInvoke[*move.Mover](i),
 		MaxInFlight: d.cfg.Caller().MaxInFlight(),
 	}), nil
 }
--- a/services/daemon/handler.go
+++ b/services/daemon/handler.go
@@ -59,6 +59,7 @@
 		Generation: d.keeper.Generation(),
 		Knowledge:  d.knowledge.Take(maxKnowledge, hosts),
 		Suspects:   d.suspects.Take(maxSuspects, hosts),
+		Progress:   d.progress.Take(maxSuspects, hosts),
 	}
 }
 
@@ -81,6 +82,9 @@
 	all, err := d.peers.Knowledge(ctx, from)
 	if err == nil {
 		d.learn(all)
+		if all.Loaded {
+			d.mover.SetLoaded()
+		}
 	}
 }
 
@@ -98,6 +102,9 @@
 			d.suspects.Put(s.Fingerprint, s)
 		}
 	}
+	d.fleet.LearnCredits(news.Credits)
+	d.mover.LearnEvidence(news.Evidence)
+	d.mover.LearnProgress(news.Progress...)
 	if news.Generation > d.keeper.Generation() {
 		d.fetchConfiguration(news.From)
 	}
@@ -164,6 +171,9 @@
 	for _, t := range h.d.fleet.Trackers() {
 		all.Knowledge = append(all.Knowledge, t.Knowledge())
 	}
+	if h.d.mover.IsLoaded() {
+		all.Progress, all.Loaded = h.d.mover.Progress(), true
+	}
 	return all
 }
 
--- a/services/daemon/status.go
+++ b/services/daemon/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/configuration"
+	"github.com/godwithatch/godwithatch/services/move"
 	"github.com/godwithatch/godwithatch/services/peer"
 )
 
@@ -29,6 +30,7 @@
 	add(d.keeper.Generation() == 0, "no configuration yet")
 	add(d.drained.Load(), "the data centre is drained")
 	add(!d.members.IsSettled(), "no peer has answered since the start or a pause")
+	add(d.keeper.Generation() > 0 && len(d.keeper.Section().Load().Moves()) > 0 && !d.mover.IsLoaded(), "the progress of moves is not known yet")
 	add(d.members.Clashes() > 0, "another host uses this identity")
 	return Readiness{Ready: len(reasons) == 0, Reasons: reasons}
 }
@@ -43,6 +45,7 @@
 	Tables     configuration.Verdict `json:"tables"`
 	InFlight   int                   `json:"in_flight"`
 	Snapshots  map[string]uint64     `json:"snapshots"`
+	Moves      []move.Status         `json:"moves"`
 }
 
 // Status returns the status of this host.
@@ -56,6 +59,7 @@
 		Tables:     d.verdict.Load(),
 		InFlight:   d.engine.InFlight(),
 		Snapshots:  d.snapshots(),
+		Moves:      d.mover.Status(),
 	}
 }
 
@@ -80,7 +84,8 @@
 		Generation uint64                `json:"generation"`
 		Tables     configuration.Verdict `json:"tables"`
 		Hosts      []string              `json:"hosts"`
-	}{d.keeper.Generation(), d.verdict.Load(), sortedIDs(d.members.Live().Load())}
+		Moves      []move.Status         `json:"moves"`
+	}{d.keeper.Generation(), d.verdict.Load(), sortedIDs(d.members.Live().Load()), d.mover.Status()}
 }
 
 type serverState struct {
@@ -135,6 +140,7 @@
 	counter("attempts_total", "Requests sent towards servers.", c.Attempts.Load)
 	counter("hedges_total", "Backup requests.", c.Hedges.Load)
 	counter("probes_total", "Copies sent to slow or limited servers.", c.Probes.Load)
+	counter("copies_total", "Copies that warm the new pool of a move.", c.Copies.Load)
 	counter("retries_total", "Requests sent again after a failure.", c.Retries.Load)
 	counter("hops_total", "Requests passed to another host.", c.Hops.Load)
 	counter("quarantined_total", "Queries refused since their like crashed servers.", c.Quarantined.Load)
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -23,6 +23,7 @@
 	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
+	"github.com/godwithatch/godwithatch/services/move"
 	"github.com/godwithatch/godwithatch/services/query"
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
@@ -50,25 +51,11 @@
 	Generation uint64              `cbor:"3,keyasint"`
 	Knowledge  []balance.Knowledge `cbor:"4,keyasint,omitempty"`
 	Suspects   []query.Suspect     `cbor:"5,keyasint,omitempty"`
-	Evidence   []Evidence          `cbor:"6,keyasint,omitempty"`
-	Stops      []Stop              `cbor:"7,keyasint,omitempty"`
-}
-
-// Evidence is what one host counted for one move on one route, since the start
-// of its process.
-type Evidence struct {
-	Host   string     `cbor:"1,keyasint"`
-	Boot   uint64     `cbor:"2,keyasint"`
-	Move   string     `cbor:"3,keyasint"`
-	Route  string     `cbor:"4,keyasint"`
-	Counts [12]uint64 `cbor:"5,keyasint"`
-}
-
-// Stop marks a move as taken back. The set of stops only grows.
-type Stop struct {
-	Move   string `cbor:"1,keyasint"`
-	Reason string `cbor:"2,keyasint"`
-	Host   string `cbor:"3,keyasint"`
+	Evidence   []move.Evidence     `cbor:"6,keyasint,omitempty"`
+	Progress   []move.Progress     `cbor:"7,keyasint,omitempty"`
+	Credits    []balance.Credit    `cbor:"9,keyasint,omitempty"`
+	// Loaded means that the sender knows the progress of all moves.
+	Loaded bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Handler answers requests of other hosts.
--- a/services/query/engine.go
+++ b/services/query/engine.go
@@ -31,6 +31,7 @@
 	Attempts    atomic.Int64
 	Hedges      atomic.Int64
 	Probes      atomic.Int64
+	Copies      atomic.Int64
 	Retries     atomic.Int64
 	Hops        atomic.Int64
 	Quarantined atomic.Int64
@@ -165,17 +166,24 @@
 // it where that proves necessary and possible.
 func (e *Engine) runOnPools(ctx context.Context, req Request, route *table.Route) (*Result, error) {
 	var excluded []uint64
-	pool, report := e.opts.Director.Direct(e.opts.View.Load().Configuration().Tables, route)
+	tables := e.opts.View.Load().Configuration().Tables
+	e.copyToWarm(ctx, req, route, tables)
+	pool, report := e.opts.Director.Direct(tables, route)
 	start := time.Now()
 	for restart := 0; ; restart++ {
-		result, err := e.runOnSnapshot(ctx, req, route, pool, excluded)
+		f, err := e.prepare(req, route, pool, excluded)
+		if err != nil {
+			return nil, err
+		}
+		result, err := f.run(ctx)
 		if gone, ok := asSnapshotGone(err); ok && restart < maxRestarts && time.Now().Before(req.deadline) {
 			e.counters.Restarts.Add(1)
 			excluded = append(excluded, gone.version)
 			continue
 		}
-		report(Report{Failed: err != nil && ctx.Err() != context.Canceled, Latency: time.Since(start)})
-		if err == nil || pool == route.Pool() || restart >= maxRestarts || !mayRunAgain(route, err) {
+		end := f.report(ctx, result, err, start)
+		report(end)
+		if !end.Failed || pool == route.Pool() || restart >= maxRestarts || !mayRunAgain(route, err) || ctx.Err() != nil {
 			return result, publicFault(err)
 		}
 		// The new version of a move failed; the old one still serves.
@@ -184,7 +192,32 @@
 	}
 }
 
+// copyToWarm runs a copy of the query on the new pool of a move that has not
+// begun. Nobody waits for its answer.
+func (e *Engine) copyToWarm(ctx context.Context, req Request, route *table.Route, tables *table.Tables) {
+	pool, report := e.opts.Director.Copy(tables, route)
+	if pool == "" {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.deadline)
+	e.counters.Copies.Add(1)
+	go func() {
+		defer cancel()
+		start := time.Now()
+		f, err := e.prepare(req, route, pool, nil)
+		if err != nil {
+			return
+		}
+		f.warming = true
+		result, err := f.run(ctx)
+		report(f.report(ctx, result, err, start))
+	}()
+}
+
 func mayRunAgain(route *table.Route, err error) bool {
+	if err == nil {
+		return route.Idempotent()
+	}
 	f := fault.From(err)
 	if f.Kind() == fault.RequestQuarantined {
 		return false
@@ -192,7 +225,8 @@
 	return route.Idempotent() || f.Outcome() == fault.NotRun
 }
 
-func (e *Engine) runOnSnapshot(ctx context.Context, req Request, route *table.Route, pool string, excluded []uint64) (*Result, error) {
+// prepare pins a snapshot of a pool for one run of a query.
+func (e *Engine) prepare(req Request, route *table.Route, pool string, excluded []uint64) (*fanOut, error) {
 	view := e.opts.View.Load().Pool(pool)
 	if view == nil {
 		return nil, fault.New(fault.UnknownRoute, fault.NotRun, "there is no pool %q", pool)
@@ -204,8 +238,7 @@
 	if !snapshot.IsComplete() && !route.Partial() {
 		return nil, fault.New(fault.NoSnapshot, fault.NotRun, "only %d of %d shards of pool %q have a server", snapshot.Held(), snapshot.Shards(), pool)
 	}
-	f := newFanOut(e, req, route, view, snapshot)
-	return f.run(ctx)
+	return newFanOut(e, req, route, view, snapshot), nil
 }
 
 // admit refuses a query that could not be answered in time, before any server
--- a/services/query/fanout.go
+++ b/services/query/fanout.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
 	"github.com/godwithatch/godwithatch/services/balance"
@@ -12,6 +13,17 @@
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
 
+// isServerError reports whether a failed attempt speaks against the version that
+// the server runs.
+func isServerError(err error) bool {
+	switch fault.From(err).Kind() {
+	case fault.UpstreamFailed, fault.CorruptReply:
+		return true
+	default:
+		return false
+	}
+}
+
 // snapshotGoneError reports that no server holds the pinned snapshot of a shard
 // any more. The query must restart on another snapshot.
 type snapshotGoneError struct {
@@ -50,9 +62,13 @@
 	call     upstream.Call
 	// unproven counts attempts that may have run.
 	unproven atomic.Int32
-	crashed  crashWatch
-	answers  []*upstream.Answer
-	errs     []error
+	attempts atomic.Int32
+	faulty   atomic.Int32
+	// warming sends the requests to servers whose limit still grows.
+	warming bool
+	crashed crashWatch
+	answers []*upstream.Answer
+	errs    []error
 }
 
 func newFanOut(e *Engine, req Request, route *table.Route, pool *balance.PoolView, snapshot *balance.SnapshotView) *fanOut {
@@ -68,6 +84,19 @@
 	return f
 }
 
+// report returns what the run tells of the pool. A query that its Caller gave up
+// tells nothing bad.
+func (f *fanOut) report(ctx context.Context, result *Result, err error, start time.Time) Report {
+	failed := err != nil && !errors.Is(ctx.Err(), context.Canceled)
+	isPartial := result != nil && len(result.missing) > 0
+	return Report{
+		Failed:   failed || isPartial,
+		Latency:  time.Since(start),
+		Attempts: int(f.attempts.Load()),
+		Errors:   int(f.faulty.Load()),
+	}
+}
+
 // run asks every shard and joins the replies.
 func (f *fanOut) run(ctx context.Context) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/services/query/query.go
+++ b/services/query/query.go
@@ -142,12 +142,20 @@
 type Director interface {
 	// Direct returns the pool for a query and a function to report its end.
 	Direct(t *table.Tables, route *table.Route) (pool string, report func(Report))
+	// Copy returns the pool that a copy of the query should warm, or "", and a
+	// function to report the end of the copy.
+	Copy(t *table.Tables, route *table.Route) (pool string, report func(Report))
 }
 
 // Report is the end of one query on one pool, as evidence for a move.
 type Report struct {
 	Failed  bool
 	Latency time.Duration
+	// Attempts counts the requests to servers, Errors those that a server
+	// answered wrongly or not at all. Refusals and broken connections are not
+	// among the errors: they tell of a server's load or restart.
+	Attempts int
+	Errors   int
 }
 
 // Options are the parts that an Engine works with.
@@ -171,6 +179,9 @@
 	return route.Pool(), func(Report) {}
 }
 
+// Copy implements Director.
+func (fixedDirector) Copy(*table.Tables, *table.Route) (string, func(Report)) { return "", nil }
+
 // noClaimer refuses every key, for engines without a store.
 type noClaimer struct{}
 
--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -92,6 +92,11 @@
 // otherwise waits in the order of priority and arrival.
 func (s *shardRun) choose(ctx context.Context) (balance.Choice, error) {
 	queue := s.fan.snapshot.Queue(s.shard)
+	if s.fan.warming {
+		if choice, ok := s.fan.snapshot.ChooseLimited(s.shard, s.tried); ok {
+			return choice, nil
+		}
+	}
 	if queue.Len() == 0 {
 		if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
 			return choice, nil
@@ -126,6 +131,7 @@
 	call := s.fan.call.WithShard(s.shard).WithAttempt(s.fan.engine.nextAttempt())
 	results := s.results
 	s.fan.unproven.Add(1)
+	s.fan.attempts.Add(1)
 	go func() {
 		answer, err := s.fan.engine.attempt(ctx, choice, call)
 		results <- attemptResult{answer, err, choice.Tracker()}
@@ -164,6 +170,9 @@
 func (s *shardRun) failed(ctx context.Context, r attemptResult) error {
 	s.lastErr = r.err
 	f := fault.From(r.err)
+	if isServerError(r.err) {
+		s.fan.faulty.Add(1)
+	}
 	if f.Outcome() == fault.NotRun {
 		s.fan.unproven.Add(-1)
 		s.attempts--
--- a/tests/measure/measure_test.go
+++ b/tests/measure/measure_test.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -59,11 +60,23 @@
 			}
 		}
 	})
-	if err := os.WriteFile(*out, []byte(report(results)), 0o644); err != nil {
+	text := report(results)
+	if *only == "" || *only == "Moves" {
+		text += measureMoves(t)
+	}
+	if err := os.WriteFile(*out, []byte(text), 0o644); err != nil {
 		t.Fatal(err)
 	}
 }
 
+func median(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
 func report(results map[string][]row) string {
 	var b strings.Builder
 	commit, _ := exec.Command("git", "describe", "--always", "--dirty").Output()
--- a/tests/standin/world/world.go
+++ b/tests/standin/world/world.go
@@ -33,7 +33,6 @@
 	Connect     time.Duration
 	Snapshot    uint64
 	Cold        bool
-	Tag         string
 }
 
 // Config is a deployment.
