Proofs of answers, configuration, drains and cold servers; what they found

The median of the pool as the reference: a group whose data is slow is then taken for three bad servers. Change: the outcome covers every run of a query; a server is late only beside the other replicas of its shard, and then gets probes alone, the first a second later; requests beyond 8 for each slot wait at the hosts.

--- a/services/balance/choose.go
+++ b/services/balance/choose.go
@@ -14,9 +14,6 @@
 	// slowPatience is how many median latencies a slow server may take before
 	// waiting for a fast one is preferred.
 	slowPatience = 4
-	// outlierFactor is how many times slower than its pool a server must be to
-	// be looked after by probes.
-	outlierFactor = 3
 )
 
 // Choice is a server for one request, and the host that must send it there.
@@ -75,7 +72,8 @@
 	if fast >= 0 || slow < 0 {
 		return fast
 	}
-	if isWaitPossible && slowScore > slowPatience*replicas[slow].tracker.load.typical.Load() {
+	t := replicas[slow].tracker
+	if isWaitPossible && (t.isLate() || slowScore > slowPatience*t.reference.Load()) {
 		return -1
 	}
 	return slow
@@ -248,7 +246,5 @@
 	if t.ramping.Load() {
 		return t.inFlight.Load() == 0
 	}
-	typical := t.load.typical.Load()
-	slow := typical > 0 && t.latency.Load() > outlierFactor*typical
-	return slow && now-t.probedAt.Load() > int64(probeInterval)
+	return t.isSlow() && t.inFlight.Load() == 0 && now-t.probedAt.Load() > int64(probeInterval)
 }
--- a/services/balance/tracker.go
+++ b/services/balance/tracker.go
@@ -45,18 +45,23 @@
 	load     *PoolLoad
 	notify   func()
 
-	inFlight     atomic.Int32
-	share        atomic.Int32
-	level        atomic.Int32
-	cut          atomic.Int32
-	latency      atomic.Int64
-	progressAt   atomic.Int64
-	slowStreak   atomic.Int32
+	inFlight   atomic.Int32
+	share      atomic.Int32
+	level      atomic.Int32
+	cut        atomic.Int32
+	latency    atomic.Int64
+	progressAt atomic.Int64
+	last       atomic.Int64
+	slowStreak atomic.Int32
+	// reference is what the servers of the same shards show to be a usual latency.
+	reference    atomic.Int64
 	blockedUntil atomic.Int64
 	probedAt     atomic.Int64
 	draining     atomic.Bool
 	ramping      atomic.Bool
 	queues       atomic.Pointer[[]*WaitQueue]
+	// peers are the replicas of the server's newest shard, itself among them.
+	peers atomic.Pointer[[]*Tracker]
 
 	mu        sync.Mutex
 	known     Knowledge
@@ -195,13 +200,14 @@
 	return (latency + 1) * (inFlight + 1)
 }
 
-// isSlow reports whether the server answers much later than its pool does.
+// isSlow reports whether the server answers much later than others of its shards
+// do.
 func (t *Tracker) isSlow() bool {
-	typical := t.load.typical.Load()
-	if typical == 0 {
+	reference := t.reference.Load()
+	if reference == 0 {
 		return false
 	}
-	return t.latency.Load() > slowFactor*typical || t.slowStreak.Load() >= slowStreakLength
+	return t.latency.Load() > slowFactor*reference || t.isLate()
 }
 
 func (t *Tracker) isOpen(now int64) bool {
@@ -262,17 +268,51 @@
 }
 
 // observeStreak counts answers in a row that came very late. A server that turns
-// cold shows it by a few of them, long before the average does.
+// cold shows it by a few of them, long before the average does. An answer is late
+// only beside those of the other replicas: load that all of them carry makes all
+// of them late.
 func (t *Tracker) observeStreak(latency int64) {
-	typical := t.load.typical.Load()
-	switch {
-	case typical == 0 || latency < slowFactor*typical:
+	t.last.Store(latency)
+	reference := t.reference.Load()
+	if reference == 0 || latency < slowFactor*reference {
 		if t.slowStreak.Load() != 0 {
 			t.slowStreak.Store(0)
 		}
-	case latency > streakFactor*typical:
-		t.slowStreak.Add(1)
+		return
+	}
+	fastest := t.fastestPeer()
+	if fastest == 0 || latency < streakFactor*max(reference, fastest) {
+		return
+	}
+	if t.slowStreak.Add(1) == slowStreakLength {
+		// What the server has taken on must leave before it is looked at again.
+		t.probedAt.Store(time.Now().UnixNano())
+	}
+}
+
+// isLate reports whether the last answers in a row came very late, as those of a
+// server do that has turned cold.
+func (t *Tracker) isLate() bool { return t.slowStreak.Load() >= slowStreakLength }
+
+// fastestPeer returns the least recent latency among the other open replicas of
+// the server's shards, or zero if there is none.
+func (t *Tracker) fastestPeer() int64 {
+	peers := t.peers.Load()
+	if peers == nil {
+		return 0
+	}
+	now := time.Now().UnixNano()
+	fastest := int64(0)
+	for _, p := range *peers {
+		recent := max(p.latency.Load(), p.last.Load())
+		if p == t || recent == 0 || !p.isOpen(now) {
+			continue
+		}
+		if fastest == 0 || recent < fastest {
+			fastest = recent
+		}
 	}
+	return fastest
 }
 
 // Unreachable records a refused connection: the server has fallen.
@@ -469,6 +509,6 @@
 	if t.successes < min(max(minimumCredits, t.known.Level), maximumCredits) {
 		return false
 	}
-	typical := t.load.Typical()
-	return typical == 0 || t.successTime <= slowFactor*typical*time.Duration(t.successes)
+	reference := time.Duration(t.reference.Load())
+	return reference == 0 || t.successTime <= slowFactor*reference*time.Duration(t.successes)
 }
--- a/services/balance/view.go
+++ b/services/balance/view.go
@@ -84,6 +84,47 @@
 // Replicas returns the servers of a shard. The slice must not be modified.
 func (s *SnapshotView) Replicas(shard int) []*Replica { return s.shards[shard] }
 
+// introduce tells each server which others hold its shard.
+func (s *SnapshotView) introduce() {
+	for _, replicas := range s.shards {
+		peers := lo.Map(replicas, func(r *Replica, _ int) *Tracker { return r.tracker })
+		for _, t := range peers {
+			t.peers.Store(&peers)
+		}
+	}
+}
+
+// refer tells each server what latency is usual in its shard: that of the fastest
+// replica, but at least the median of the pool. A shard whose replicas are all
+// slow has slow data, and none of them is to blame.
+func (s *SnapshotView) refer() {
+	typical := s.load.typical.Load()
+	for _, replicas := range s.shards {
+		fastest := int64(0)
+		for _, r := range replicas {
+			if l := r.tracker.latency.Load(); l > 0 && (fastest == 0 || l < fastest) {
+				fastest = l
+			}
+		}
+		for _, r := range replicas {
+			r.tracker.reference.Store(max(typical, fastest))
+		}
+	}
+}
+
+// Refer brings the usual latencies of all shards up to date. A controller calls
+// it about ten times a second.
+func (v *View) Refer() {
+	if v == nil {
+		return
+	}
+	for _, p := range v.pools {
+		for _, s := range p.snapshots {
+			s.refer()
+		}
+	}
+}
+
 // Queue returns the requests that wait for a server of a shard.
 func (s *SnapshotView) Queue(shard int) *WaitQueue { return s.queues[shard] }
 
@@ -150,7 +191,7 @@
 		if rank < 0 {
 			rank = len(order)
 		}
-		perHost := max(p.Connections()/max(len(order), 1), 1)
+		perHost := connectionsPerHost(p, len(order))
 		first := ""
 		if len(order) > 0 {
 			first = order[0].id
@@ -175,9 +216,25 @@
 	}
 	view.load.keepQueues(held)
 	view.snapshots = rankSnapshots(lo.Values(byVersion))
+	if len(view.snapshots) > 0 {
+		view.snapshots[0].introduce()
+	}
 	return view
 }
 
+// queueDepth is how many requests for each slot of a server may be on their way
+// or in its queue, from all hosts together. What is more waits at the hosts, in
+// the order of priority.
+const queueDepth = 8
+
+// connectionsPerHost returns how many requests each of a number of hosts may have
+// at a server of a pool.
+func connectionsPerHost(p *table.Pool, hosts int) int {
+	hosts = max(hosts, 1)
+	depth := (queueDepth*p.Slots() + hosts - 1) / hosts
+	return max(min(p.Connections()/hosts, depth), 1)
+}
+
 // addReplica puts a server under the shard that it holds. Holdings that
 // contradict the number of shards of their snapshot are passed over.
 func (f *Fleet) addReplica(byVersion map[uint64]*SnapshotView, load *PoolLoad, h upstream.Holding, r *Replica) bool {
--- a/services/daemon/controllers.go
+++ b/services/daemon/controllers.go
@@ -170,6 +170,7 @@
 // the other hosts.
 func (d *Daemon) runFold(ctx context.Context) {
 	every(ctx, foldInterval, func() {
+		d.view.Load().Refer()
 		d.fleet.Tick(time.Now())
 		for _, t := range d.fleet.Trackers() {
 			if k, changed := t.TakeChanged(); changed {
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -63,9 +63,12 @@
 	engine    *query.Engine
 	registry  *prometheus.Registry
 
-	stopping  atomic.Bool
-	forwards  atomic.Int64
-	fetching  atomic.Bool
+	stopping atomic.Bool
+	forwards atomic.Int64
+	fetching atomic.Bool
+	catching atomic.Bool
+	// caughtUp is one more than the number of pauses at the last catching up.
+	caughtUp  atomic.Int64
 	drained   atomic.Bool
 	lastReady atomic.Bool
 	wg        sync.WaitGroup
--- a/services/daemon/handler.go
+++ b/services/daemon/handler.go
@@ -65,27 +65,34 @@
 
 // exchange gives news to a peer and takes in its own.
 func (d *Daemon) exchange(ctx context.Context, to membership.Member) error {
-	first := !d.members.IsSettled()
 	reply, err := d.peers.Exchange(ctx, to, d.news())
-	if err != nil {
-		return err
-	}
-	d.learn(reply)
-	if first {
-		d.catchUp(ctx, to)
+	if err == nil {
+		d.learn(reply)
 	}
-	return nil
+	return err
 }
 
-// catchUp takes in all that a peer knows, after a start or a pause.
-func (d *Daemon) catchUp(ctx context.Context, from membership.Member) {
-	all, err := d.peers.Knowledge(ctx, from)
-	if err == nil {
+// catchUp takes in all that a peer knows, once after the start and after each
+// pause.
+func (d *Daemon) catchUp(from membership.Member) {
+	pauses := d.members.Pauses() + 1
+	if d.caughtUp.Load() == pauses || d.catching.Swap(true) {
+		return
+	}
+	go func() {
+		defer d.catching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		all, err := d.peers.Knowledge(ctx, from)
+		if err != nil {
+			return
+		}
+		d.caughtUp.Store(pauses)
 		d.learn(all)
 		if all.Loaded {
 			d.mover.SetLoaded()
 		}
-	}
+	}()
 }
 
 // learn takes in the news of a peer.
@@ -94,6 +101,7 @@
 		return
 	}
 	d.members.Heard(news.From, news.Members)
+	d.catchUp(news.From)
 	for _, k := range news.Knowledge {
 		d.fleet.Learn(k)
 	}
--- a/services/query/engine.go
+++ b/services/query/engine.go
@@ -165,17 +165,18 @@
 // runOnPools runs the query on the pool that the director picks, and restarts
 // it where that proves necessary and possible.
 func (e *Engine) runOnPools(ctx context.Context, req Request, route *table.Route) (*Result, error) {
-	var excluded []uint64
 	tables := e.opts.View.Load().Configuration().Tables
-	e.copyToWarm(ctx, req, route, tables)
 	pool, report := e.opts.Director.Direct(tables, route)
+	var excluded []uint64
+	mayHaveRun := false
 	start := time.Now()
 	for restart := 0; ; restart++ {
 		f, err := e.prepare(req, route, pool, excluded)
 		if err != nil {
-			return nil, err
+			return nil, outcomeOf(err, mayHaveRun)
 		}
 		result, err := f.run(ctx)
+		mayHaveRun = mayHaveRun || f.unproven.Load() > 0
 		if gone, ok := asSnapshotGone(err); ok && restart < maxRestarts && time.Now().Before(req.deadline) {
 			e.counters.Restarts.Add(1)
 			excluded = append(excluded, gone.version)
@@ -184,7 +185,10 @@
 		end := f.report(ctx, result, err, start)
 		report(end)
 		if !end.Failed || pool == route.Pool() || restart >= maxRestarts || !mayRunAgain(route, err) || ctx.Err() != nil {
-			return result, publicFault(err)
+			if err == nil {
+				e.copyToWarm(ctx, req, route, tables)
+			}
+			return result, outcomeOf(err, mayHaveRun)
 		}
 		// The new version of a move failed; the old one still serves.
 		e.counters.Restarts.Add(1)
@@ -192,8 +196,22 @@
 	}
 }
 
-// copyToWarm runs a copy of the query on the new pool of a move that has not
-// begun. Nobody waits for its answer.
+// outcomeOf returns err as the fault that the Caller sees. Its outcome is NotRun
+// only if no run of the query, this one or an earlier one, may have reached a
+// server.
+func outcomeOf(err error, mayHaveRun bool) error {
+	if err == nil {
+		return nil
+	}
+	f := fault.From(err)
+	if mayHaveRun {
+		return f.WithOutcome(fault.Unknown)
+	}
+	return f
+}
+
+// copyToWarm runs a copy of an answered query on the new pool of a move that has
+// not begun. Nobody waits for its answer.
 func (e *Engine) copyToWarm(ctx context.Context, req Request, route *table.Route, tables *table.Tables) {
 	pool, report := e.opts.Director.Copy(tables, route)
 	if pool == "" {
--- a/services/query/fanout.go
+++ b/services/query/fanout.go
@@ -44,14 +44,6 @@
 	return gone, errors.As(err, &gone)
 }
 
-// publicFault returns err as the fault that the Caller sees.
-func publicFault(err error) error {
-	if err == nil {
-		return nil
-	}
-	return fault.From(err)
-}
-
 // fanOut is one run of a query on one snapshot.
 type fanOut struct {
 	engine   *Engine
--- /dev/null
+++ b/tests/proof/drain_test.go
@@ -0,0 +1,106 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/godwithatch/godwithatch/tests/standin/model"
+	"github.com/godwithatch/godwithatch/tests/standin/world"
+)
+
+// drainLimit is the stated time after which a data centre or a server that is
+// taken out gets no new work.
+const drainLimit = 3 * time.Second
+
+// TestDrainedGetsNoNewWork proves that a data centre that operators take out,
+// and a server that leaves, get no new work after a few seconds, and that no
+// answer is lost by it, also when the store goes down right after the edit.
+func TestDrainedGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		dc := rapid.IntRange(0, 2).Draw(rt, "data centre")
+		group, replica := rapid.IntRange(0, 2).Draw(rt, "group"), rapid.IntRange(0, 2).Draw(rt, "replica")
+		storeDown := rapid.Bool().Draw(rt, "store down after the edit")
+		rate := rapid.Float64Range(50, 250).Draw(rt, "rate")
+		err := inWorld(t, small(), func(w *world.World) error {
+			return checkDrain(w, w.Config.DataCentres[dc], group, replica, storeDown, rate)
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func checkDrain(w *world.World, dc string, group, replica int, storeDown bool, rate float64) error {
+	w.Run(world.Load{Route: "main", Rate: rate, For: 2 * time.Second})
+	w.Drain(dc, true)
+	w.Edit()
+	w.Server("main", group, replica).SetFaults(model.Faults{Draining: true})
+	edited := time.Now()
+	if storeDown {
+		time.AfterFunc(time.Second, func() { (disturbance{Kind: "store down"}).begin(w) })
+	}
+	s := world.Summarise(w.Run(world.Load{Route: "main", Rate: rate, For: 8 * time.Second}))
+	if s.Whole != s.Asked {
+		return fmt.Errorf("answers were lost: %+v", s)
+	}
+	var problem error
+	leaving := fmt.Sprintf("main-%d-%d", group, replica)
+	w.Servers(func(id, at, _ string, s *model.Server) {
+		if (at == dc || id == leaving) && s.LastWork().Sub(edited) > drainLimit {
+			problem = fmt.Errorf("%s got new work %s after it was taken out", id, s.LastWork().Sub(edited))
+		}
+	})
+	for i := range daemons {
+		if n := w.Node(i); n.DC == dc && n.Daemon.Readiness().Ready {
+			problem = fmt.Errorf("host %s of the drained data centre is still ready", n.ID)
+		}
+	}
+	return problem
+}
+
+// TestRestartedServersBearTheirLoad proves that no server that restarts cold
+// falls through our load, while hosts die and freeze.
+func TestRestartedServersBearTheirLoad(t *testing.T) {
+	checkCold(t, "server restarts", "kill", "freeze")
+}
+
+// TestTurnedColdServersBearTheirLoad wants the same of servers that turn cold
+// unannounced.
+func TestTurnedColdServersBearTheirLoad(t *testing.T) {
+	checkCold(t, "server restarts", "server cold", "kill", "freeze")
+}
+
+func checkCold(t *testing.T, kinds ...string) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) disturbance {
+			return disturbance{
+				Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
+				At:     time.Duration(rapid.IntRange(0, 4000).Draw(t, "at ms")) * time.Millisecond,
+				For:    2 * time.Second,
+				Host:   rapid.IntRange(0, daemons-1).Draw(t, "host"),
+				Group:  rapid.IntRange(0, 2).Draw(t, "group"),
+				Choice: rapid.IntRange(0, 2).Draw(t, "choice"),
+			}
+		}), 1, 4).Draw(rt, "faults")
+		rate := rapid.Float64Range(100, 700).Draw(rt, "rate")
+		err := inWorld(t, small(), func(w *world.World) error {
+			w.Run(world.Load{Route: "main", Rate: rate, For: 3 * time.Second})
+			befall(w, faults)
+			w.Run(world.Load{Route: "main", Rate: rate, For: 8 * time.Second})
+			falls := 0
+			w.Servers(func(_, _, _ string, s *model.Server) { falls += s.Falls })
+			if falls > 0 {
+				return fmt.Errorf("%d servers fell through our load", falls)
+			}
+			return nil
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- a/tests/proof/keys_test.go
+++ b/tests/proof/keys_test.go
@@ -85,6 +85,7 @@
 // that "not run" is true, while copies go through several hosts and anything
 // fails.
 func TestKeysRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		plan, faults := submissions.Draw(rt, "submissions"), disturbances.Draw(rt, "faults")
 		if err := inWorld(t, small(), func(w *world.World) error { return checkKeys(w, plan, faults) }); err != nil {
--- a/tests/standin/model/model.go
+++ b/tests/standin/model/model.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"strconv"
@@ -68,6 +69,7 @@
 	waiting   []chan struct{}
 	crash     chan struct{}
 	ledger    map[string]int
+	payloads  map[string]int
 	last      time.Time
 
 	// Falls counts falls under load, MostCold the most requests in flight while
@@ -85,6 +87,7 @@
 		warm:     cfg.WarmAfter,
 		crash:    make(chan struct{}),
 		ledger:   map[string]int{},
+		payloads: map[string]int{},
 	}
 }
 
@@ -131,11 +134,14 @@
 func (s *Server) Ledger() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := map[string]int{}
-	for k, n := range s.ledger {
-		c[k] = n
-	}
-	return c
+	return maps.Clone(s.ledger)
+}
+
+// Payloads returns how often each payload ran.
+func (s *Server) Payloads() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.payloads)
 }
 
 // LastWork returns when the server last took a request.
@@ -305,6 +311,7 @@
 		return nil, upstream.State{}, crashed(s.cfg.ID)
 	}
 	s.Runs++
+	s.payloads[string(c.Payload())]++
 	if c.Key() != "" {
 		s.ledger[c.Key()]++
 	}
--- a/tests/standin/world/world.go
+++ b/tests/standin/world/world.go
@@ -68,6 +68,7 @@
 	drained map[string]bool
 	moves   []map[string]any
 	routes  []map[string]any
+	stopped bool
 }
 
 type server struct {
@@ -202,7 +203,7 @@
 
 // StartNode starts one daemon, or starts one again that was killed.
 func (w *World) StartNode(i int) *Node {
-	if n := w.Node(i); n != nil && !n.down {
+	if n := w.Node(i); n != nil && (!n.down || w.stopped) {
 		return n
 	}
 	dc := w.Config.DataCentres[i%len(w.Config.DataCentres)]
@@ -268,6 +269,7 @@
 
 // Stop ends all daemons.
 func (w *World) Stop() {
+	w.stopped = true
 	for i := range w.Config.Daemons {
 		w.Node(i).stop()
 	}
