--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -223,6 +223,7 @@
 	blackboard.Add(&d.board, "verdict", &d.verdict)
 	d.board.AddComputed("members", func() any { return d.members.Members() })
 	d.board.AddComputed("servers", func() any { return d.serverStates() })
+	d.board.AddComputed("counters", func() any { return d.engine.Counters().Snapshot() })
 	d.board.AddComputed("ready", func() any { return d.Readiness() })
 }
 
--- a/services/query/engine.go
+++ b/services/query/engine.go
@@ -37,6 +37,19 @@
 	Quarantined atomic.Int64
 }
 
+// CounterValues are the values of the counters that the state dump shows.
+type CounterValues struct {
+	Queries, Answered, Partial, Refused, Failed, Attempts, Hedges, Probes, Retries, Hops int64
+}
+
+// Snapshot returns the present values.
+func (c *Counters) Snapshot() CounterValues {
+	return CounterValues{
+		c.Queries.Load(), c.Answered.Load(), c.Partial.Load(), c.Refused.Load(), c.Failed.Load(),
+		c.Attempts.Load(), c.Hedges.Load(), c.Probes.Load(), c.Retries.Load(), c.Hops.Load(),
+	}
+}
+
 // Engine runs queries. It is safe for concurrent use.
 type Engine struct {
 	opts       Options
--- a/tests/harness/harness.go
+++ b/tests/harness/harness.go
@@ -100,15 +100,33 @@
 		}
 	}
 	for i := range d.Opts.Daemons {
-		if err := waitFor(ctx, DaemonID(i), func() bool { return d.isServing(i) }); err != nil {
-			var state json.RawMessage
-			_ = GetJSON("http://"+OperatorAddress(i)+"/debug/state", &state)
-			return fmt.Errorf("%w\n%s\n%s", err, d.Log(DaemonID(i)), state)
+		if err := d.WaitServing(ctx, i); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// WaitServing waits until a daemon answers queries whole.
+func (d *Deployment) WaitServing(ctx context.Context, i int) error {
+	err := waitFor(ctx, DaemonID(i), func() bool { return d.isServing(i) })
+	if err == nil {
+		return nil
+	}
+	var state json.RawMessage
+	_ = GetJSON("http://"+OperatorAddress(i)+"/debug/state", &state)
+	return fmt.Errorf("%w\n%s\n%s", err, d.Log(DaemonID(i)), state)
+}
+
+// Post sends an empty request and returns the status.
+func Post(address, path string) (int, error) {
+	resp, err := client.Post("http://"+address+path, "application/json", nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
 func moduleRoot() string {
 	out, err := exec.Command("go", "env", "GOMOD").Output()
 	if err != nil {
