--- a/services/upstream/wire_test.go
+++ b/services/upstream/wire_test.go
@@ -74,8 +74,8 @@
 		outcome fault.Outcome
 	}{
 		{"refusal", refuse, fault.UpstreamRefused, fault.NotRun},
-		{"503 of something else", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, fault.UpstreamFailed, fault.Unknown},
-		{"failure", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, fault.UpstreamFailed, fault.Unknown},
+		{"503 of something else", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, fault.UpstreamFailed, fault.Unknown},
+		{"failure", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, fault.UpstreamFailed, fault.Unknown},
 		{"broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, fault.ConnectionFailed, fault.Unknown},
 		{"silence", func(_ http.ResponseWriter, r *http.Request) {
 			// The server notices the end of a connection once the body was read.
