--- a/services/daemon/controllers.go
+++ b/services/daemon/controllers.go
@@ -28,8 +28,11 @@
 	acceptorKey = "acceptor"
 	// announcePeers is how many peers are told of a change at once.
 	announcePeers = 3
-	// viewDelay gathers changes that come together into one view.
+	// viewDelay gathers changes that come together into one view, and viewPause is
+	// how many times longer than a building the pause after it is at the least, so
+	// that changes without end cost a twentieth of a core.
 	viewDelay = 5 * time.Millisecond
+	viewPause = 20
 )
 
 // Start runs the controllers until ctx ends.
@@ -127,7 +130,9 @@
 	for {
 		configured := d.keeper.Section().Changed()
 		hosts := d.members.Live().Changed()
+		start := time.Now()
 		d.buildView()
+		pause := max(viewDelay, viewPause*time.Since(start))
 		select {
 		case <-configured:
 		case <-hosts:
@@ -135,7 +140,7 @@
 		case <-ctx.Done():
 			return
 		}
-		time.Sleep(viewDelay)
+		time.Sleep(pause)
 	}
 }
 
