--- a/services/configuration/follower.go
+++ b/services/configuration/follower.go
@@ -71,6 +71,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/services/query/fanout.go
+++ b/services/query/fanout.go
@@ -120,17 +120,23 @@
 	return !f.route.Partial() || fault.Is(err, fault.RequestQuarantined)
 }
 
-// join builds the answer from the accepted replies alone.
-func (f *fanOut) join() (*Result, error) {
-	result := &Result{pool: f.pool.Pool().Name(), snapshot: f.snapshot.Version(), total: len(f.answers)}
-	result.shards = make([]ShardResult, 0, len(f.answers))
-	for shard, a := range f.answers {
+// joinAnswers builds a result from the accepted replies alone.
+func joinAnswers(pool string, snapshot uint64, answers []*upstream.Answer) *Result {
+	result := &Result{pool: pool, snapshot: snapshot, total: len(answers)}
+	result.shards = make([]ShardResult, 0, len(answers))
+	for shard, a := range answers {
 		if a == nil {
 			result.missing = append(result.missing, shard)
 			continue
 		}
 		result.shards = append(result.shards, ShardResult{shard, a.Results()})
 	}
+	return result
+}
+
+// join returns the answer, if it is whole or the route allows a partial one.
+func (f *fanOut) join() (*Result, error) {
+	result := joinAnswers(f.pool.Pool().Name(), f.snapshot.Version(), f.answers)
 	if len(result.missing) == 0 {
 		return result, nil
 	}
--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -104,9 +104,12 @@
 	}
 	waiter := queue.Enter(s.fan.route.Priority())
 	defer waiter.Leave()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(queueCheck)
 	defer timer.Stop()
 	for {
+		if choice, ok := s.chooseFirst(waiter); ok {
+			return choice, nil
+		}
 		select {
 		case <-waiter.Woken():
 		case <-timer.C:
@@ -114,18 +117,22 @@
 		case <-ctx.Done():
 			return balance.Choice{}, s.expired(ctx)
 		}
-		if !waiter.IsFirst() {
-			continue
-		}
-		if choice, ok := s.fan.snapshot.Choose(s.shard, s.tried); ok {
-			return choice, nil
-		}
-		if len(s.tried) >= len(s.fan.snapshot.Replicas(s.shard)) {
-			s.tried = s.tried[:0]
-		}
 	}
 }
 
+// chooseFirst picks a server if no other request is to be served earlier. Once
+// every server was tried, all of them may be tried again.
+func (s *shardRun) chooseFirst(waiter *balance.Waiter) (balance.Choice, bool) {
+	if !waiter.IsFirst() {
+		return balance.Choice{}, false
+	}
+	choice, ok := s.fan.snapshot.Choose(s.shard, s.tried)
+	if !ok && len(s.tried) >= len(s.fan.snapshot.Replicas(s.shard)) {
+		s.tried = s.tried[:0]
+	}
+	return choice, ok
+}
+
 func (s *shardRun) start(ctx context.Context, choice balance.Choice) {
 	s.attempts++
 	s.open++
--- a/tests/standin/objects/objects.go
+++ b/tests/standin/objects/objects.go
@@ -68,6 +68,9 @@
 	if f.Down {
 		return fault.New(fault.StoreUnavailable, fault.Unknown, "the store is down")
 	}
+	if f.Slow == 0 {
+		return nil
+	}
 	select {
 	case <-time.After(f.Slow):
 		return nil
--- a/tests/standin/world/load.go
+++ b/tests/standin/world/load.go
@@ -67,7 +67,7 @@
 	for {
 		i := rng.IntN(w.Config.Daemons)
 		n := w.Node(i)
-		if !skip[i] && !n.down && n.Daemon.Readiness().Ready {
+		if !skip[i] && !n.down.Load() && n.Daemon.Readiness().Ready {
 			return n
 		}
 	}
--- a/tests/standin/world/network.go
+++ b/tests/standin/world/network.go
@@ -37,7 +37,7 @@
 func (p *peers) reach(ctx context.Context, to membership.Member) (peer.Handler, error) {
 	p.w.mu.Lock()
 	n := p.w.nodes[to.ID]
-	lost := n == nil || n.down || p.self.down || p.w.cuts[[2]string{p.self.ID, to.ID}]
+	lost := n == nil || n.down.Load() || p.self.down.Load() || p.w.cuts[[2]string{p.self.ID, to.ID}]
 	p.w.mu.Unlock()
 	if lost {
 		sleep(ctx, peerSilence)
@@ -51,7 +51,7 @@
 func (p *peers) back(ctx context.Context, from string) error {
 	p.w.mu.Lock()
 	n := p.w.nodes[from]
-	lost := n.down || p.self.down || p.w.cuts[[2]string{p.self.ID, from}]
+	lost := n.down.Load() || p.self.down.Load() || p.w.cuts[[2]string{p.self.ID, from}]
 	p.w.mu.Unlock()
 	if lost {
 		sleep(ctx, peerSilence)
@@ -62,6 +62,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/tests/standin/world/world.go
+++ b/tests/standin/world/world.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,7 +53,7 @@
 	ID     string
 	DC     string
 	stop   context.CancelFunc
-	down   bool
+	down   atomic.Bool
 }
 
 // World is a deployment in one process.
@@ -68,7 +69,7 @@
 	drained map[string]bool
 	moves   []map[string]any
 	routes  []map[string]any
-	stopped bool
+	stopped atomic.Bool
 }
 
 type server struct {
@@ -203,7 +204,7 @@
 
 // StartNode starts one daemon, or starts one again that was killed.
 func (w *World) StartNode(i int) *Node {
-	if n := w.Node(i); n != nil && (!n.down || w.stopped) {
+	if n := w.Node(i); n != nil && (!n.down.Load() || w.stopped.Load()) {
 		return n
 	}
 	dc := w.Config.DataCentres[i%len(w.Config.DataCentres)]
@@ -246,9 +247,7 @@
 // Kill stops a daemon without notice.
 func (w *World) Kill(i int) {
 	n := w.Node(i)
-	w.mu.Lock()
-	n.down = true
-	w.mu.Unlock()
+	n.down.Store(true)
 	n.stop()
 }
 
@@ -269,7 +268,7 @@
 
 // Stop ends all daemons.
 func (w *World) Stop() {
-	w.stopped = true
+	w.stopped.Store(true)
 	for i := range w.Config.Daemons {
 		w.Node(i).stop()
 	}
