--- a/services/query/attempt.go
+++ b/services/query/attempt.go
@@ -58,9 +58,9 @@
 // Serve runs a call that another host passed on. It refuses if this host has no
 // room at the server.
 func (e *Engine) Serve(ctx context.Context, server string, call upstream.Call) (*upstream.Answer, error) {
-	tracker, err := e.serveTracker(server)
-	if err != nil {
-		return nil, err
+	tracker, ok := e.opts.Fleet.AcquireFor(server)
+	if !ok {
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "this host has no room at server %q", server)
 	}
 	return e.attemptDirect(ctx, tracker, call)
 }
--- a/services/query/engine.go
+++ b/services/query/engine.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
-	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/table"
 )
 
@@ -123,12 +122,13 @@
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	if route.Idempotent() {
-		return e.runIdempotent(ctx, req, route)
+		return e.runAdmitted(ctx, req, route)
 	}
 	return e.runKeyed(ctx, req, route)
 }
 
-func (e *Engine) runIdempotent(ctx context.Context, req Request, route *table.Route) (*Result, error) {
+// runAdmitted runs a query that nothing stands against.
+func (e *Engine) runAdmitted(ctx context.Context, req Request, route *table.Route) (*Result, error) {
 	if err := e.admit(req, route); err != nil {
 		return nil, err
 	}
@@ -152,7 +152,7 @@
 	if earlier := claim.Earlier(); earlier != nil {
 		return earlier, nil
 	}
-	result, err := e.runClaimed(ctx, req, route)
+	result, err := e.runAdmitted(ctx, req, route)
 	switch {
 	case err == nil:
 		claim.Done(result)
@@ -164,17 +164,6 @@
 	return result, err
 }
 
-func (e *Engine) runClaimed(ctx context.Context, req Request, route *table.Route) (*Result, error) {
-	if err := e.admit(req, route); err != nil {
-		return nil, err
-	}
-	if e.quarantine.IsHeld(req.fingerprint()) {
-		e.counters.Quarantined.Add(1)
-		return nil, fault.New(fault.RequestQuarantined, fault.NotRun, "requests like this one crashed servers a short time ago")
-	}
-	return e.runOnPools(ctx, req, route)
-}
-
 // runOnPools runs the query on the pool that the director picks, and restarts
 // it where that proves necessary and possible.
 func (e *Engine) runOnPools(ctx context.Context, req Request, route *table.Route) (*Result, error) {
@@ -335,12 +324,3 @@
 	left := time.Until(req.deadline)
 	return req.deadline.Add(-min(left/returnShare, maxReturn))
 }
-
-// Serve runs a call that another host passed on.
-func (e *Engine) serveTracker(server string) (*balance.Tracker, error) {
-	tracker, ok := e.opts.Fleet.AcquireFor(server)
-	if !ok {
-		return nil, fault.New(fault.Overloaded, fault.NotRun, "this host has no room at server %q", server)
-	}
-	return tracker, nil
-}
