One wait and one fixed seed in place of copies

Change: modules/pause and tests/standin/seed; the local variables that shared the name of the new package are called backoff. Seeds, checks and bounds are as before. Ruled out: merging the two files of enum names, which are generated. Conclusion: behaviour unchanged.

--- a/services/balance/main_test.go
+++ b/services/balance/main_test.go
@@ -1,15 +1,9 @@
 package balance
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/godwithatch/godwithatch/tests/standin/seed"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m) }
--- a/services/configuration/acceptor.go
+++ b/services/configuration/acceptor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/pause"
 	"github.com/godwithatch/godwithatch/services/platform"
 	"github.com/godwithatch/godwithatch/services/table"
 )
@@ -51,7 +52,7 @@
 	changed := make(chan struct{}, 1)
 	go a.watch(ctx, RoutesObject, changed)
 	go a.watch(ctx, PoolsObject, changed)
-	var pause retry
+	var backoff retry
 	for {
 		select {
 		case <-changed:
@@ -59,12 +60,12 @@
 			return
 		}
 		for a.Rank() >= 0 {
-			sleep(ctx, time.Duration(a.Rank())*rankDelay)
+			pause.For(ctx, time.Duration(a.Rank())*rankDelay)
 			if _, err := a.Accept(ctx); err == nil {
-				pause.reset()
+				backoff.reset()
 				break
 			}
-			if !pause.wait(ctx) {
+			if !backoff.wait(ctx) {
 				return
 			}
 		}
@@ -73,20 +74,20 @@
 
 // watch signals every change of a table while this host is an acceptor.
 func (a *Acceptor) watch(ctx context.Context, name string, changed chan<- struct{}) {
-	var pause retry
+	var backoff retry
 	var version uint64
 	for ctx.Err() == nil {
 		if a.Rank() == inactive {
-			sleep(ctx, inactivePoll)
+			pause.For(ctx, inactivePoll)
 			version = 0
 			continue
 		}
 		object, err := a.Store.Watch(ctx, name, version, watchWait)
 		if err != nil {
-			pause.wait(ctx)
+			backoff.wait(ctx)
 			continue
 		}
-		pause.reset()
+		backoff.reset()
 		version = object.Version()
 		select {
 		case changed <- struct{}{}:
--- a/services/configuration/follower.go
+++ b/services/configuration/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/pause"
 	"github.com/godwithatch/godwithatch/services/platform"
 )
 
@@ -24,14 +25,7 @@
 // wait pauses after a failure and reports whether ctx still runs.
 func (r *retry) wait(ctx context.Context) bool {
 	r.next = min(max(2*r.next, firstRetry), lastRetry)
-	timer := time.NewTimer(r.next/2 + rand.N(r.next/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, r.next/2+rand.N(r.next/2))
 }
 
 func (r *retry) reset() { r.next = 0 }
@@ -49,35 +43,23 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var pause retry
+	var backoff retry
 	var version uint64
 	for ctx.Err() == nil {
 		if !f.IsWatcher() {
-			sleep(ctx, f.Poll)
+			pause.For(ctx, f.Poll)
 			continue
 		}
 		object, err := f.Store.Watch(ctx, AcceptedObject, version, watchWait)
 		if err != nil {
 			if fault.Is(err, fault.ObjectNotFound) {
-				pause.reset()
+				backoff.reset()
 			}
-			pause.wait(ctx)
+			backoff.wait(ctx)
 			continue
 		}
-		pause.reset()
+		backoff.reset()
 		version = object.Version()
 		_, _ = f.Keeper.Offer(object.Value(), "store")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/pause"
 	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/upstream"
 )
@@ -226,7 +227,7 @@
 	}
 	if len(s.tried) >= len(s.fan.snapshot.Replicas(s.shard)) {
 		s.tried = s.tried[:0]
-		if !sleep(ctx, s.backoff) {
+		if !pause.For(ctx, s.backoff) {
 			return s.expired(ctx)
 		}
 		s.backoff = min(2*s.backoff, maxBackoff)
@@ -245,14 +246,3 @@
 	}
 	return fault.New(fault.DeadlineExceeded, fault.Unknown, "shard %d gave no answer in time", s.shard)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/tests/proof/plan_test.go
+++ b/tests/proof/plan_test.go
@@ -3,8 +3,6 @@
 package proof
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,21 +11,11 @@
 
 	"github.com/godwithatch/godwithatch/tests/standin/model"
 	"github.com/godwithatch/godwithatch/tests/standin/objects"
+	"github.com/godwithatch/godwithatch/tests/standin/seed"
 	"github.com/godwithatch/godwithatch/tests/standin/world"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "100", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m) }
 
 // daemons is the number of hosts in each proof.
 const daemons = 4
--- a/tests/standin/world/network.go
+++ b/tests/standin/world/network.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/pause"
 	"github.com/godwithatch/godwithatch/services/claim"
 	"github.com/godwithatch/godwithatch/services/membership"
 	"github.com/godwithatch/godwithatch/services/peer"
@@ -40,10 +41,10 @@
 	lost := n == nil || n.down.Load() || p.self.down.Load() || p.w.cuts[[2]string{p.self.ID, to.ID}]
 	p.w.mu.Unlock()
 	if lost {
-		sleep(ctx, peerSilence)
+		pause.For(ctx, peerSilence)
 		return nil, fault.New(fault.PeerFailed, fault.Unknown, "host %q gave no answer", to.ID)
 	}
-	sleep(ctx, p.w.oneWay(p.self.DC, n.DC))
+	pause.For(ctx, p.w.oneWay(p.self.DC, n.DC))
 	return n.Daemon.Handler(), ctx.Err()
 }
 
@@ -54,25 +55,13 @@
 	lost := n.down.Load() || p.self.down.Load() || p.w.cuts[[2]string{p.self.ID, from}]
 	p.w.mu.Unlock()
 	if lost {
-		sleep(ctx, peerSilence)
+		pause.For(ctx, peerSilence)
 		return fault.New(fault.PeerFailed, fault.Unknown, "host %q gave no answer", from)
 	}
-	sleep(ctx, p.w.oneWay(p.self.DC, n.DC))
+	pause.For(ctx, p.w.oneWay(p.self.DC, n.DC))
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Exchange implements daemon.Peers.
 func (p *peers) Exchange(ctx context.Context, to membership.Member, news peer.Exchange) (peer.Exchange, error) {
 	h, err := p.reach(ctx, to)
@@ -170,7 +159,7 @@
 		return made
 	}
 	target.mu.Unlock()
-	sleep(ctx, target.pool.Connect)
+	pause.For(ctx, target.pool.Connect)
 	return time.Now()
 }
 
@@ -194,10 +183,10 @@
 	}
 	target.mu.Unlock()
 	if silent {
-		sleep(ctx, serverSilence)
+		pause.For(ctx, serverSilence)
 		return nil, fault.New(fault.ConnectionSilent, fault.Unknown, "%s gave nothing", u.ID())
 	}
-	sleep(ctx, wire)
+	pause.For(ctx, wire)
 	if ctx.Err() != nil {
 		return nil, ended(ctx, u)
 	}
@@ -205,7 +194,7 @@
 	if ctx.Err() != nil {
 		return nil, ended(ctx, u)
 	}
-	sleep(ctx, wire)
+	pause.For(ctx, wire)
 	if err != nil {
 		return nil, err
 	}
@@ -224,7 +213,7 @@
 // State implements upstream.Server.
 func (s *servers) State(ctx context.Context, u *table.Upstream) (upstream.State, error) {
 	target := s.w.servers[u.ID()]
-	sleep(ctx, 2*s.w.oneWay(s.self.DC, target.dc))
+	pause.For(ctx, 2*s.w.oneWay(s.self.DC, target.dc))
 	if target.IsDown() {
 		return upstream.State{}, fault.New(fault.ConnectionFailed, fault.NotRun, "%s is down", u.ID())
 	}
