--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -41,6 +41,7 @@
 	JSON bool `help:"Print JSON for machines." name:"json"`
 
 	Serve   serveCommand   `cmd:"" help:"Run the daemon."`
+	Front   frontCommand   `cmd:"" help:"Serve clients on the users' platform."`
 	Check   checkCommand   `cmd:"" help:"Check settings and tables; every fault is listed."`
 	Status  statusCommand  `cmd:"" help:"Print the status of a daemon."`
 	Dump    dumpCommand    `cmd:"" help:"Print the state of a daemon, section by section."`
--- /dev/null
+++ b/internal/protocol/http1/conn.go
@@ -0,0 +1,204 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBuffer is the size of the read buffer of a connection in bytes; most
+	// answers fit.
+	readBuffer = 2 << 10
+	// inlineBody is the largest body in bytes that is written before the answer
+	// is read; a larger one may block on a server that answers early.
+	inlineBody = 16 << 10
+	// maxSkipped bounds the answers to other requests that are read past.
+	maxSkipped = 3
+)
+
+// conn is one connection to a server. One exchange at a time uses it.
+type conn struct {
+	address string
+	tcp     *net.TCPConn
+	r       *bufio.Reader
+	usedAt  time.Time
+	// idleLimit is how long the server keeps the connection without a request.
+	idleLimit time.Duration
+}
+
+func newConn(address string, tcp *net.TCPConn) *conn {
+	return &conn{address: address, tcp: tcp, r: bufio.NewReaderSize(tcp, readBuffer), usedAt: time.Now(), idleLimit: idleLimit}
+}
+
+func (c *conn) isExpired(now time.Time) bool { return now.Sub(c.usedAt) > c.idleLimit }
+
+// isUsable reports whether an idle connection may carry another request.
+func (c *conn) isUsable(now time.Time, fresh bool) bool {
+	if c.isExpired(now) || fresh && now.Sub(c.usedAt) > freshLimit {
+		return false
+	}
+	return c.isQuiet()
+}
+
+// isQuiet reports whether the server has neither closed the connection nor sent
+// bytes that no request waits for.
+func (c *conn) isQuiet() bool {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange writes a call and reads its answer. It reports whether the connection
+// may be used again.
+func (c *conn) exchange(ctx context.Context, call *Call, opts Options) (*Reply, bool, error) {
+	stop := context.AfterFunc(ctx, func() { c.tcp.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	written, err := c.write(call)
+	if err != nil {
+		return nil, false, c.failure(ctx, "write", err)
+	}
+	reply, reusable, err := c.read(call, opts)
+	if err != nil {
+		return nil, false, c.failure(ctx, "read", err)
+	}
+	select {
+	case err := <-written:
+		reusable = reusable && err == nil
+	default:
+		// The server answered before it had the whole body; the rest must not
+		// meet another request.
+		reusable = false
+	}
+	c.usedAt = time.Now()
+	return reply, reusable && stop(), nil
+}
+
+// failure returns the reason why ctx ended if that broke the connection.
+func (c *conn) failure(ctx context.Context, what string, err error) error {
+	if ctx.Err() != nil {
+		return sent(what, context.Cause(ctx))
+	}
+	return sent(what, err)
+}
+
+// write sends the call. The channel receives the result of the last byte.
+func (c *conn) write(call *Call) (<-chan error, error) {
+	written := make(chan error, 1)
+	head := call.head()
+	if len(call.Body) <= inlineBody {
+		_, err := c.tcp.Write(append(head, call.Body...))
+		written <- err
+		return written, err
+	}
+	go func() {
+		buffers := net.Buffers{head, call.Body}
+		_, err := buffers.WriteTo(c.tcp)
+		written <- err
+	}()
+	return written, nil
+}
+
+// head returns the request line and the header.
+func (call *Call) head() []byte {
+	var b strings.Builder
+	b.Grow(512 + len(call.Body))
+	b.WriteString(call.Method)
+	b.WriteByte(' ')
+	b.WriteString(call.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(call.Host)
+	b.WriteString("\r\n")
+	for name, values := range call.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	if call.HasBody || len(call.Body) > 0 {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(call.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return []byte(b.String())
+}
+
+// read returns the answer to the call, past answers to other requests.
+func (c *conn) read(call *Call, opts Options) (*Reply, bool, error) {
+	for skipped := 0; ; skipped++ {
+		reply, reusable, err := c.readOne(call, opts.MaxBody)
+		if err != nil {
+			return nil, false, err
+		}
+		echo := reply.Header.Get(opts.EchoHeader)
+		if echo == call.Echo || echo == "" && skipped == 0 {
+			return reply, reusable && skipped == 0, nil
+		}
+		if skipped == maxSkipped || !reusable && c.r.Buffered() == 0 {
+			return nil, false, corrupt("the answer belongs to request " + strconv.Quote(echo))
+		}
+	}
+}
+
+func (c *conn) readOne(call *Call, limit int64) (*Reply, bool, error) {
+	resp, err := c.readHead(call)
+	if err != nil {
+		return nil, false, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, false, err
+	}
+	if int64(len(body)) > limit {
+		return nil, false, corrupt("the answer is larger than the limit")
+	}
+	isFramed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	reusable := isFramed && !resp.Close && c.r.Buffered() == 0
+	c.observeIdleLimit(resp.Header)
+	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
+}
+
+// readHead reads the head of the final answer.
+func (c *conn) readHead(call *Call) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: call.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// observeIdleLimit reads the seconds that the server keeps idle connections.
+func (c *conn) observeIdleLimit(h http.Header) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			c.idleLimit = time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/fleet/server.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/godwithatch/godwithatch/internal/routing/membership"
+)
+
+const (
+	// averageWeight is the weight of one observation in the moving averages.
+	averageWeight = 0.2
+	// fadeTime is the time without use in which what is known of a server loses
+	// half of its weight.
+	fadeTime = time.Second
+	// failureCost is the time that a failed request is taken to cost: the usual
+	// objective of a sharded route.
+	failureCost = 200 * time.Millisecond
+	// silenceFactor is how many usual service times a server may be silent.
+	silenceFactor = 3
+	// silenceSlack keeps short requests from following jitter.
+	silenceSlack = 8 * time.Millisecond
+	// silenceCost is the least further wait at a silent server.
+	silenceCost = 150 * time.Millisecond
+	// firstPause and lastPause bound how long a server that did not answer at all
+	// is passed over.
+	firstPause = 200 * time.Millisecond
+	lastPause  = 2 * time.Second
+	// pauseCost ranks servers that are passed over behind all others.
+	pauseCost = 5 * time.Second
+	// misdirectedPause is how long an address that another server answered at is
+	// passed over; its entry is about to go.
+	misdirectedPause = 5 * time.Second
+	// servicePrior is the service time of a group before any answer.
+	servicePrior = 20 * time.Millisecond
+	// coldFactor is how much slower a cold server is taken to be.
+	coldFactor = 1.6
+	// serviceFloor is the least service time.
+	serviceFloor = 500 * time.Microsecond
+	// roomFactor and roomExtra bound the requests of this host at one server, as a
+	// multiple of its capacity: what runs there and a short queue.
+	roomFactor = 2
+	roomExtra  = 2
+)
+
+// Server is what this host knows of one incarnation of a server. Its Group
+// guards the mutable fields.
+type Server struct {
+	entry     membership.Entry
+	distance  Distance
+	roundTrip time.Duration
+	evacuated bool
+	removed   bool
+
+	inFlight int
+	// progressAt is when the server last answered, or when it got work after a
+	// time without.
+	progressAt time.Time
+	usedAt     time.Time
+	service    time.Duration
+	failures   float64
+	pauseUntil time.Time
+	pause      time.Duration
+}
+
+func newServer(e membership.Entry, d Distance) *Server {
+	return &Server{entry: e, distance: d}
+}
+
+// ID returns the identity of the server.
+func (s *Server) ID() string { return s.entry.ID }
+
+// Address returns host and port.
+func (s *Server) Address() string { return s.entry.Address }
+
+// Service returns the service of the server.
+func (s *Server) Service() string { return s.entry.Service }
+
+// Version returns the version of the server's software.
+func (s *Server) Version() string { return s.entry.Version }
+
+// Zone returns the zone of the server.
+func (s *Server) Zone() string { return s.entry.Zone }
+
+// Distance returns how far the server is.
+func (s *Server) Distance() Distance { return s.distance }
+
+// isOpen reports whether the server may get new work.
+func (s *Server) isOpen() bool { return !s.entry.Draining && !s.evacuated && !s.removed }
+
+// room returns how many requests this host may have at the server.
+func (s *Server) room() int { return roomFactor*s.entry.Capacity + roomExtra }
+
+// fade returns how much of what is known still counts.
+func (s *Server) fade(now time.Time) float64 {
+	if s.inFlight > 0 {
+		return 1
+	}
+	idle := now.Sub(s.usedAt)
+	if idle <= 0 {
+		return 1
+	}
+	// A rational curve is close to a half-life and cheap.
+	return 1 / (1 + float64(idle)/float64(fadeTime))
+}
+
+// serviceTime returns the expected time of one request at the server without
+// the way there.
+func (s *Server) serviceTime(now time.Time, typical time.Duration) time.Duration {
+	own := typical
+	if s.service > 0 {
+		own = typical + time.Duration(s.fade(now)*float64(s.service-typical))
+	}
+	if now.Before(s.entry.ColdUntil) {
+		own = max(own, time.Duration(coldFactor*float64(typical)))
+	}
+	return max(own, serviceFloor)
+}
+
+// silence returns how long the server has been silent with work in flight.
+func (s *Server) silence(now time.Time) time.Duration {
+	if s.inFlight == 0 {
+		return 0
+	}
+	return now.Sub(s.progressAt)
+}
+
+// isSilent reports whether the server is silent for longer than usual.
+func (s *Server) isSilent(now time.Time, typical time.Duration) bool {
+	usual := s.serviceTime(now, typical)
+	return s.silence(now) > s.roundTrip+silenceFactor*usual+silenceSlack
+}
+
+// expected returns the cost of one more request as a time: the way, the service
+// behind this host's other requests, and what failures, silence and distance
+// add.
+func (s *Server) expected(now time.Time, typical time.Duration) time.Duration {
+	service := s.serviceTime(now, typical)
+	slots := max(s.entry.Capacity, 1)
+	cost := s.roundTrip + service + service*time.Duration(s.inFlight)/time.Duration(slots)
+	cost += time.Duration(s.failures * s.fade(now) * float64(failureCost))
+	if s.isSilent(now, typical) {
+		cost += max(silenceCost, s.silence(now))
+	}
+	if now.Before(s.pauseUntil) {
+		cost += pauseCost
+	}
+	switch s.distance {
+	case SameRegion:
+		cost += regionCost
+	case OtherRegion:
+		cost += farCost
+	case SameZone:
+	}
+	return cost
+}
+
+func (s *Server) observeService(latency time.Duration) {
+	d := max(latency-s.roundTrip, serviceFloor)
+	if s.service == 0 {
+		s.service = d
+		return
+	}
+	s.service += time.Duration(averageWeight * float64(d-s.service))
+}
+
+func (s *Server) observeFailure(failed float64) {
+	s.failures += averageWeight * (failed - s.failures)
+}
+
+// passOver keeps new work away for a time that doubles with each repetition.
+func (s *Server) passOver(now time.Time) {
+	if now.Before(s.pauseUntil) {
+		return
+	}
+	s.pause = min(max(2*s.pause, firstPause), lastPause)
+	s.pauseUntil = now.Add(s.pause)
+}
