--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -133,7 +133,7 @@
 	offset := randomOffset(n)
 	for i := range n {
 		s := g.servers[(offset+i)%n]
-		if !g.fits(s, ask) || s.inFlight >= s.room() {
+		if !g.fits(s, ask) || !s.isUsable(now, g.typical) || s.inFlight >= s.room(now, g.typical) {
 			continue
 		}
 		if cost := s.expected(now, g.typical); best == nil || cost < bestCost {
@@ -158,15 +158,18 @@
 	return ask.Allows == nil || ask.Allows(s.entry.Region)
 }
 
-// HasServer reports whether any open server fits, with room or without.
+// HasServer reports whether any open server fits that is not taken to be down,
+// with room or without.
 func (g *Group) HasServer(ask Ask) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hasServer(ask)
+	return g.hasServer(ask, time.Now())
 }
 
-func (g *Group) hasServer(ask Ask) bool {
-	return slices.ContainsFunc(g.servers, func(s *Server) bool { return g.fits(s, ask) })
+func (g *Group) hasServer(ask Ask, now time.Time) bool {
+	return slices.ContainsFunc(g.servers, func(s *Server) bool {
+		return g.fits(s, ask) && s.isUsable(now, g.typical)
+	})
 }
 
 // IsOpen reports whether the server may still get the request that Pick gave it.
@@ -215,6 +218,10 @@
 			s.passOver(now)
 		}
 	case Withdrawn:
+		if latency > silenceFactor*g.typical+s.roundTrip {
+			s.observeService(latency)
+			s.observeFailure(withdrawnFailure)
+		}
 	}
 	g.serveWaiters(now)
 }
--- a/internal/routing/fleet/queue.go
+++ b/internal/routing/fleet/queue.go
@@ -60,7 +60,7 @@
 			return s
 		}
 	}
-	if !g.hasServer(ask) || g.expectedWait(rank, now) > patience {
+	if !g.hasServer(ask, now) || g.expectedWait(rank, now) > patience {
 		g.mu.Unlock()
 		return nil
 	}
@@ -122,7 +122,7 @@
 			w.server <- s
 			continue
 		}
-		if !g.hasServer(w.ask) {
+		if !g.hasServer(w.ask, now) {
 			w.server <- nil
 			continue
 		}
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -9,6 +9,9 @@
 const (
 	// averageWeight is the weight of one observation in the moving averages.
 	averageWeight = 0.2
+	// failureWeight is the weight of one failure: a second server is soon found,
+	// and each further failure costs an extra send.
+	failureWeight = 0.35
 	// fadeTime is the time without use in which what is known of a server loses
 	// half of its weight.
 	fadeTime = time.Second
@@ -36,10 +39,17 @@
 	coldFactor = 1.6
 	// serviceFloor is the least service time.
 	serviceFloor = 500 * time.Microsecond
-	// roomFactor and roomExtra bound the requests of this host at one server, as a
-	// multiple of its capacity: what runs there and a short queue.
-	roomFactor = 2
-	roomExtra  = 2
+	// nearQueue and farQueue are how many requests of this host may wait in a
+	// server's queue: hosts of the same zone share a server, the others only spill.
+	nearQueue = 2
+	farQueue  = 0
+	// darkAfter is how long a server with work may be silent, beyond its usual
+	// time, before it counts as down. The longest pause of the deployments is
+	// 250 ms.
+	darkAfter = 350 * time.Millisecond
+	// withdrawnFailure is how much of a failure it is that a reply took so long
+	// that nobody needed it any more.
+	withdrawnFailure = 0.5
 )
 
 // Server is what this host knows of one incarnation of a server. Its Group
@@ -87,8 +97,31 @@
 // isOpen reports whether the server may get new work.
 func (s *Server) isOpen() bool { return !s.entry.Draining && !s.evacuated && !s.removed }
 
-// room returns how many requests this host may have at the server.
-func (s *Server) room() int { return roomFactor*s.entry.Capacity + roomExtra }
+// room returns how many requests this host may have at the server. A server that
+// is taken to be down gets one, which tells when it is back.
+func (s *Server) room(now time.Time, typical time.Duration) int {
+	if s.isDark(now, typical) {
+		return 1
+	}
+	queue := nearQueue
+	if s.distance == OtherRegion {
+		queue = farQueue
+	}
+	return s.entry.Capacity + queue
+}
+
+// isDark reports whether the server is taken to be down.
+func (s *Server) isDark(now time.Time, typical time.Duration) bool {
+	if now.Before(s.pauseUntil) {
+		return true
+	}
+	return s.silence(now) > s.roundTrip+silenceFactor*s.serviceTime(now, typical)+darkAfter
+}
+
+// isUsable reports whether the server may get new work, now or after a wait.
+func (s *Server) isUsable(now time.Time, typical time.Duration) bool {
+	return !s.isDark(now, typical) || s.inFlight == 0 && !now.Before(s.pauseUntil)
+}
 
 // fade returns how much of what is known still counts.
 func (s *Server) fade(now time.Time) float64 {
@@ -164,7 +197,11 @@
 }
 
 func (s *Server) observeFailure(failed float64) {
-	s.failures += averageWeight * (failed - s.failures)
+	weight := averageWeight
+	if failed > s.failures {
+		weight = failureWeight
+	}
+	s.failures += weight * (failed - s.failures)
 }
 
 // passOver keeps new work away for a time that doubles with each repetition.
--- a/internal/serving/engine/ask.go
+++ b/internal/serving/engine/ask.go
@@ -13,6 +13,9 @@
 	// connection. Closing it at once would cost a new connection; the protocol
 	// wants servers idle half a second after a client has left.
 	lingerTime = 400 * time.Millisecond
+	// denialPause is how long a request that lacks room or budget for a further
+	// send waits before it looks again: about one service time.
+	denialPause = 15 * time.Millisecond
 	// maxSends bounds the sends for one service, those included that reached no
 	// server of it.
 	maxSends = 4
@@ -25,6 +28,22 @@
 	errNoServer = errors.New("no server has room")
 )
 
+// Denial is why a further send did not happen.
+type Denial int
+
+// The reasons.
+const (
+	NotDenied Denial = iota
+	// NotIdempotent means that the request may have run.
+	NotIdempotent
+	NoAttempts
+	NoTime
+	NoRoom
+	NoBudget
+)
+
+//go:generate ../../../.bin/enumer -type=Denial -transform=snake -output=denial_enumer.go
+
 // ask is one request to one service: a first send, and further ones while they
 // are allowed and paid for.
 type ask struct {
@@ -42,6 +61,8 @@
 	attempts int
 	// last is the most telling reply so far.
 	last *Reply
+	// denied is why the last further send did not happen.
+	denied Denial
 }
 
 func (e *Engine) newAsk(ctx context.Context, req *Request, service string) *ask {
@@ -70,7 +91,7 @@
 				return r
 			}
 			a.note(r)
-			if !a.sendAgain(r) && a.open == 0 {
+			if !a.sendAgain(r) && a.open == 0 && !a.waitToSend(ctx) {
 				return a.last
 			}
 		case <-second.C:
@@ -137,6 +158,7 @@
 // again and the budget pays.
 func (a *ask) sendAgain(r *Reply) bool {
 	if r.mayHaveRun() && !a.req.Route.Idempotent {
+		a.denied = NotIdempotent
 		return false
 	}
 	isFree := r.Outcome == fleet.Unreachable || r.Outcome == fleet.Misdirected
@@ -147,25 +169,64 @@
 	return a.sendExtra(isFree)
 }
 
+// waitToSend waits until a further send that was denied for want of room or
+// budget is possible. It reports false if it would not be in time.
+func (a *ask) waitToSend(ctx context.Context) bool {
+	for a.denied == NoRoom || a.denied == NoBudget {
+		left := time.Until(a.req.Objective)
+		if left <= 0 {
+			return false
+		}
+		if !sleep(ctx, min(denialPause, left)) {
+			return false
+		}
+		if a.sendExtra(false) {
+			return true
+		}
+	}
+	return false
+}
+
+// sleep reports false if ctx ended before d passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // sendSecond sends to another server because the first one is late.
 func (a *ask) sendSecond() bool {
 	return a.req.Route.Idempotent && a.open > 0 && a.sendExtra(false)
 }
 
 func (a *ask) sendExtra(isFree bool) bool {
-	if a.attempts >= a.req.Route.Attempts || a.sends >= maxSends || !time.Now().Before(a.req.Deadline) {
-		return false
+	a.denied = a.trySend(isFree)
+	return a.denied == NotDenied
+}
+
+// trySend sends to another server if there is one and the budget pays.
+func (a *ask) trySend(isFree bool) Denial {
+	if a.attempts >= a.req.Route.Attempts || a.sends >= maxSends {
+		return NoAttempts
+	}
+	if !time.Now().Before(a.req.Deadline) {
+		return NoTime
 	}
 	s := a.group.Pick(time.Now(), a.request())
 	if s == nil {
-		return false
+		return NoRoom
 	}
 	if !isFree && !a.group.MaySendAgain() {
 		a.group.Done(s, fleet.Withdrawn, 0, time.Now())
-		return false
+		return NoBudget
 	}
 	a.send(s)
-	return true
+	return NotDenied
 }
 
 func (a *ask) secondSendAfter() time.Duration {
--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
@@ -11,8 +12,9 @@
 
 // part is the end of the ask of one shard.
 type part struct {
-	reply *Reply
-	sends int
+	reply  *Reply
+	sends  int
+	denied Denial
 }
 
 // gathering is the state of one sharded request.
@@ -22,6 +24,8 @@
 	good   []*Reply
 	hasRun bool
 	sends  int
+	// lost are the ends of the parts that will not come.
+	lost []part
 }
 
 // gather asks one server of every shard and joins the parts. The set of shards is
@@ -36,7 +40,7 @@
 		a := e.newAsk(asks, req, service)
 		go func() {
 			r := a.run(asks)
-			parts <- part{r, a.sends}
+			parts <- part{r, a.sends, a.denied}
 		}()
 	}
 	return g.wait(ctx, parts)
@@ -78,6 +82,7 @@
 		return
 	}
 	g.tally.lost++
+	g.lost = append(g.lost, p)
 }
 
 func (g *gathering) answer() *Answer {
@@ -104,8 +109,18 @@
 		outcome, retryAfter = fault.NotRun, refusalPause
 	}
 	return &Answer{
-		Fault:      fault.New(kind, outcome, "%d of %d parts, %d lost, %d needed", t.have, t.have+t.lost+t.open, t.lost, t.need),
+		Fault:      fault.New(kind, outcome, "%d of %d parts, %d needed, lost: %s", t.have, t.have+t.lost+t.open, t.need, g.lostText()),
 		RetryAfter: retryAfter,
 		Sends:      g.sends,
 	}
 }
+
+// lostText says for each lost part how its last send ended and why no other
+// followed.
+func (g *gathering) lostText() string {
+	texts := make([]string, len(g.lost))
+	for i, p := range g.lost {
+		texts[i] = p.reply.Outcome.String() + "/" + p.denied.String()
+	}
+	return strings.Join(texts, " ")
+}
