Failures cost more and fade slower

Cause: at shedding servers 0.2 of a failure's weight and 200 ms kept the near server first, so further sends used the budget up (refused/no_budget in lost parts).

--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -36,6 +36,10 @@
 //go:generate ../../../.bin/enumer -type=Outcome -transform=snake -output=outcome_enumer.go
 
 const (
+	// typicalRise and typicalFall are the weights of a reply that took more and
+	// less than the typical time.
+	typicalRise = 0.06
+	typicalFall = 0.06
 	// extraShare is the part of the first sends that may be sent a second time.
 	// The deployments allow 0.2 over all hosts; the distance pays for requests
 	// that several hosts count differently.
@@ -200,7 +204,7 @@
 		s.pause, s.pauseUntil = 0, time.Time{}
 		s.observeService(latency)
 		s.observeFailure(0)
-		g.typical += time.Duration(averageWeight / float64(max(len(g.servers), 1)) * float64(s.service-g.typical))
+		g.observeTypical(latency - s.roundTrip)
 	case Failed, Refused:
 		s.progressAt = now
 		s.observeFailure(1)
@@ -225,3 +229,13 @@
 	}
 	g.serveWaiters(now)
 }
+
+// observeTypical follows the service time of the servers that are well: a fall
+// counts more than a rise, so that slow servers don't raise it much.
+func (g *Group) observeTypical(d time.Duration) {
+	weight := typicalRise
+	if d < g.typical {
+		weight = typicalFall
+	}
+	g.typical = max(g.typical+time.Duration(weight*float64(d-g.typical)), serviceFloor)
+}
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -15,9 +15,13 @@
 	// fadeTime is the time without use in which what is known of a server loses
 	// half of its weight.
 	fadeTime = time.Second
-	// failureCost is the time that a failed request is taken to cost: the usual
-	// objective of a sharded route.
-	failureCost = 200 * time.Millisecond
+	// failureCost is the time that a failed request is taken to cost. It is more
+	// than the way to another region and back, because a further send also takes
+	// from a small budget.
+	failureCost = 400 * time.Millisecond
+	// failureFade is the time without use in which half of what is known of
+	// failures is forgotten.
+	failureFade = 2 * time.Second
 	// silenceFactor is how many usual service times a server may be silent.
 	silenceFactor = 3
 	// silenceSlack keeps short requests from following jitter.
@@ -40,7 +44,7 @@
 	// serviceFloor is the least service time.
 	serviceFloor = 500 * time.Microsecond
 	// nearQueue and farQueue are how many requests of this host may wait in a
-	// server's queue: hosts of the same zone share a server, the others only spill.
+	// server's queue: hosts of the same region share a server, others only spill.
 	nearQueue = 2
 	farQueue  = 0
 	// darkAfter is how long a server with work may be silent, beyond its usual
@@ -103,11 +107,10 @@
 	if s.isDark(now, typical) {
 		return 1
 	}
-	queue := nearQueue
 	if s.distance == OtherRegion {
-		queue = farQueue
+		return s.entry.Capacity + farQueue
 	}
-	return s.entry.Capacity + queue
+	return s.entry.Capacity + nearQueue
 }
 
 // isDark reports whether the server is taken to be down.
@@ -123,8 +126,8 @@
 	return !s.isDark(now, typical) || s.inFlight == 0 && !now.Before(s.pauseUntil)
 }
 
-// fade returns how much of what is known still counts.
-func (s *Server) fade(now time.Time) float64 {
+// fade returns how much of what is known still counts after a time without use.
+func (s *Server) fade(now time.Time, half time.Duration) float64 {
 	if s.inFlight > 0 {
 		return 1
 	}
@@ -133,7 +136,7 @@
 		return 1
 	}
 	// A rational curve is close to a half-life and cheap.
-	return 1 / (1 + float64(idle)/float64(fadeTime))
+	return 1 / (1 + float64(idle)/float64(half))
 }
 
 // serviceTime returns the expected time of one request at the server without
@@ -141,7 +144,7 @@
 func (s *Server) serviceTime(now time.Time, typical time.Duration) time.Duration {
 	own := typical
 	if s.service > 0 {
-		own = typical + time.Duration(s.fade(now)*float64(s.service-typical))
+		own = typical + time.Duration(s.fade(now, fadeTime)*float64(s.service-typical))
 	}
 	if now.Before(s.entry.ColdUntil) {
 		own = max(own, time.Duration(coldFactor*float64(typical)))
@@ -170,7 +173,7 @@
 	service := s.serviceTime(now, typical)
 	slots := max(s.entry.Capacity, 1)
 	cost := s.roundTrip + service + service*time.Duration(s.inFlight)/time.Duration(slots)
-	cost += time.Duration(s.failures * s.fade(now) * float64(failureCost))
+	cost += time.Duration(s.failures * s.fade(now, failureFade) * float64(failureCost))
 	if s.isSilent(now, typical) {
 		cost += max(silenceCost, s.silence(now))
 	}
