--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -30,8 +30,10 @@
 	tcp     *net.TCPConn
 	r       *bufio.Reader
 	usedAt  time.Time
-	// idleLimit is how long the server keeps the connection without a request.
+	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
+	// isUsed means that an answer came over the connection.
+	isUsed bool
 }
 
 func newConn(address string, tcp *net.TCPConn) *conn {
@@ -86,7 +88,7 @@
 		// meet another request.
 		reusable = false
 	}
-	c.usedAt = time.Now()
+	c.usedAt, c.isUsed = time.Now(), true
 	return reply, reusable && stop(), nil
 }
 
@@ -95,6 +97,9 @@
 	if ctx.Err() != nil {
 		return sent(what, context.Cause(ctx))
 	}
+	if !c.isUsed && errors.Is(err, syscall.ECONNRESET) {
+		return reset(what, err)
+	}
 	return sent(what, err)
 }
 
@@ -173,7 +178,7 @@
 	}
 	isFramed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	reusable := isFramed && !resp.Close && c.r.Buffered() == 0
-	c.observeIdleLimit(resp.Header)
+	c.observeIdleLimit(resp.Header, call.KeepIdle)
 	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 }
 
@@ -191,14 +196,18 @@
 }
 
 // observeIdleLimit reads the seconds that the server keeps idle connections.
-func (c *conn) observeIdleLimit(h http.Header) {
+func (c *conn) observeIdleLimit(h http.Header, keep time.Duration) {
+	c.idleLimit = idleLimit
+	if keep > 0 {
+		c.idleLimit = keep
+	}
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			c.idleLimit = time.Duration(seconds)*time.Second - idleMargin
+			c.idleLimit = min(c.idleLimit, time.Duration(seconds)*time.Second-idleMargin)
 		}
 	}
 }
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -32,6 +32,9 @@
 	Unsent Stage = iota
 	// Sent means that the request may have run.
 	Sent
+	// Reset means that a new connection was reset before any byte of an answer,
+	// as servers do beyond their limit of connections. The request may have run.
+	Reset
 )
 
 // Failure is a failed exchange.
@@ -49,6 +52,8 @@
 
 func unsent(what string, err error) error { return &Failure{Unsent, err, what} }
 
+func reset(what string, err error) error { return &Failure{Reset, err, what} }
+
 func sent(what string, err error) error { return &Failure{Sent, err, what} }
 
 // corrupt is the failure of an answer that breaks the protocol.
@@ -71,6 +76,9 @@
 	Echo string
 	// Fresh allows only connections that were used a moment ago or are new.
 	Fresh bool
+	// KeepIdle is how long the connection may be idle afterwards, if the server
+	// states no shorter time; 0 means idleLimit.
+	KeepIdle time.Duration
 }
 
 // Reply is a whole answer.
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -16,6 +16,10 @@
 	// idleLimit is how long an unused connection is kept if the server states no
 	// time.
 	idleLimit = 50 * time.Second
+	// spareLimit is how long a connection is kept beside one that was used later.
+	// Servers count connections against a limit, and those of a host that lost
+	// power for as long as they think them open.
+	spareLimit = 1500 * time.Millisecond
 	// idleMargin is subtracted from the time that a server states, because the
 	// next request must arrive before it.
 	idleMargin = 300 * time.Millisecond
@@ -138,14 +142,15 @@
 }
 
 // Prune closes connections that have been idle for too long. A controller calls
-// it now and then.
+// it about once a second.
 func (p *Pool) Prune(now time.Time) {
 	var dropped []*conn
 	p.mu.Lock()
 	for address, list := range p.idle {
 		kept := list[:0]
-		for _, c := range list {
-			if c.isExpired(now) {
+		for i, c := range list {
+			isSpare := i < len(list)-1
+			if c.isExpired(now) || isSpare && now.Sub(c.usedAt) > spareLimit {
 				dropped = append(dropped, c)
 			} else {
 				kept = append(kept, c)
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -24,6 +24,9 @@
 	Misdirected
 	// Broken means that the connection broke or the answer was no answer.
 	Broken
+	// Crowded means that a new connection was reset at once, as servers do that
+	// have as many as they take.
+	Crowded
 	// Unreachable means that no connection could be opened.
 	Unreachable
 	// Silent means that the request was given up without an answer after longer
@@ -211,6 +214,10 @@
 	case Broken:
 		s.progressAt = now
 		s.observeFailure(1)
+	case Crowded:
+		s.progressAt = now
+		s.observeFailure(1)
+		s.crowdedRoom, s.crowdedUntil = max(s.inFlight, 1), now.Add(crowdedTime)
 	case Misdirected:
 		s.pauseUntil = now.Add(misdirectedPause)
 	case Unreachable:
--- a/internal/routing/fleet/outcome_enumer.go
+++ b/internal/routing/fleet/outcome_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _OutcomeName = "answeredfailedrefusedmisdirectedbrokenunreachablesilentwithdrawn"
+const _OutcomeName = "answeredfailedrefusedmisdirectedbrokencrowdedunreachablesilentwithdrawn"
 
-var _OutcomeIndex = [...]uint8{0, 8, 14, 21, 32, 38, 49, 55, 64}
+var _OutcomeIndex = [...]uint8{0, 8, 14, 21, 32, 38, 45, 56, 62, 71}
 
-const _OutcomeLowerName = "answeredfailedrefusedmisdirectedbrokenunreachablesilentwithdrawn"
+const _OutcomeLowerName = "answeredfailedrefusedmisdirectedbrokencrowdedunreachablesilentwithdrawn"
 
 func (i Outcome) String() string {
 	if i < 0 || i >= Outcome(len(_OutcomeIndex)-1) {
@@ -29,12 +29,13 @@
 	_ = x[Refused-(2)]
 	_ = x[Misdirected-(3)]
 	_ = x[Broken-(4)]
-	_ = x[Unreachable-(5)]
-	_ = x[Silent-(6)]
-	_ = x[Withdrawn-(7)]
+	_ = x[Crowded-(5)]
+	_ = x[Unreachable-(6)]
+	_ = x[Silent-(7)]
+	_ = x[Withdrawn-(8)]
 }
 
-var _OutcomeValues = []Outcome{Answered, Failed, Refused, Misdirected, Broken, Unreachable, Silent, Withdrawn}
+var _OutcomeValues = []Outcome{Answered, Failed, Refused, Misdirected, Broken, Crowded, Unreachable, Silent, Withdrawn}
 
 var _OutcomeNameToValueMap = map[string]Outcome{
 	_OutcomeName[0:8]:   Answered,
@@ -42,9 +43,10 @@
 	_OutcomeName[14:21]: Refused,
 	_OutcomeName[21:32]: Misdirected,
 	_OutcomeName[32:38]: Broken,
-	_OutcomeName[38:49]: Unreachable,
-	_OutcomeName[49:55]: Silent,
-	_OutcomeName[55:64]: Withdrawn,
+	_OutcomeName[38:45]: Crowded,
+	_OutcomeName[45:56]: Unreachable,
+	_OutcomeName[56:62]: Silent,
+	_OutcomeName[62:71]: Withdrawn,
 }
 
 var _OutcomeLowerNameToValueMap = map[string]Outcome{
@@ -53,9 +55,10 @@
 	_OutcomeLowerName[14:21]: Refused,
 	_OutcomeLowerName[21:32]: Misdirected,
 	_OutcomeLowerName[32:38]: Broken,
-	_OutcomeLowerName[38:49]: Unreachable,
-	_OutcomeLowerName[49:55]: Silent,
-	_OutcomeLowerName[55:64]: Withdrawn,
+	_OutcomeLowerName[38:45]: Crowded,
+	_OutcomeLowerName[45:56]: Unreachable,
+	_OutcomeLowerName[56:62]: Silent,
+	_OutcomeLowerName[62:71]: Withdrawn,
 }
 
 var _OutcomeNames = []string{
@@ -64,9 +67,10 @@
 	_OutcomeName[14:21],
 	_OutcomeName[21:32],
 	_OutcomeName[32:38],
-	_OutcomeName[38:49],
-	_OutcomeName[49:55],
-	_OutcomeName[55:64],
+	_OutcomeName[38:45],
+	_OutcomeName[45:56],
+	_OutcomeName[56:62],
+	_OutcomeName[62:71],
 }
 
 // OutcomeString retrieves an enum value from the enum constants string name.
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -34,6 +34,9 @@
 	lastPause  = 2 * time.Second
 	// pauseCost ranks servers that are passed over behind all others.
 	pauseCost = 5 * time.Second
+	// crowdedTime is how long no further connection is opened to a server that
+	// reset a new one.
+	crowdedTime = time.Second
 	// misdirectedPause is how long an address that another server answered at is
 	// passed over; its entry is about to go.
 	misdirectedPause = 5 * time.Second
@@ -74,6 +77,9 @@
 	failures   float64
 	pauseUntil time.Time
 	pause      time.Duration
+	// crowdedRoom bounds the requests at a server until crowdedUntil.
+	crowdedRoom  int
+	crowdedUntil time.Time
 }
 
 func newServer(e membership.Entry, d Distance) *Server {
@@ -107,6 +113,9 @@
 	if s.isDark(now, typical) {
 		return 1
 	}
+	if now.Before(s.crowdedUntil) {
+		return s.crowdedRoom
+	}
 	if s.distance == OtherRegion {
 		return s.entry.Capacity + farQueue
 	}
