--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -27,7 +27,7 @@
 // conn is one connection to a server. One exchange at a time uses it.
 type conn struct {
 	address string
-	tcp     *net.TCPConn
+	nc      net.Conn
 	r       *bufio.Reader
 	usedAt  time.Time
 	// idleLimit is how long the connection may be idle.
@@ -36,8 +36,8 @@
 	isUsed bool
 }
 
-func newConn(address string, tcp *net.TCPConn) *conn {
-	return &conn{address: address, tcp: tcp, r: bufio.NewReaderSize(tcp, readBuffer), usedAt: time.Now(), idleLimit: idleLimit}
+func newConn(address string, nc net.Conn) *conn {
+	return &conn{address: address, nc: nc, r: bufio.NewReaderSize(nc, readBuffer), usedAt: time.Now(), idleLimit: idleLimit}
 }
 
 func (c *conn) isExpired(now time.Time) bool { return now.Sub(c.usedAt) > c.idleLimit }
@@ -53,7 +53,12 @@
 // isQuiet reports whether the server has neither closed the connection nor sent
 // bytes that no request waits for.
 func (c *conn) isQuiet() bool {
-	raw, err := c.tcp.SyscallConn()
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		// In tests a connection may have no descriptor.
+		return true
+	}
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -70,7 +75,7 @@
 // exchange writes a call and reads its answer. It reports whether the connection
 // may be used again.
 func (c *conn) exchange(ctx context.Context, call *Call, opts Options) (*Reply, bool, error) {
-	stop := context.AfterFunc(ctx, func() { c.tcp.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
 	written, err := c.write(call)
 	if err != nil {
@@ -92,6 +97,14 @@
 	return reply, reusable && stop(), nil
 }
 
+// abort ends the reads and writes that wait.
+func (c *conn) abort() {
+	if err := c.nc.SetDeadline(time.Unix(1, 0)); err != nil {
+		// The connection is closed already.
+		return
+	}
+}
+
 // failure returns the reason why ctx ended if that broke the connection.
 func (c *conn) failure(ctx context.Context, what string, err error) error {
 	if ctx.Err() != nil {
@@ -108,13 +121,13 @@
 	written := make(chan error, 1)
 	head := call.head()
 	if len(call.Body) <= inlineBody {
-		_, err := c.tcp.Write(append(head, call.Body...))
+		_, err := c.nc.Write(append(head, call.Body...))
 		written <- err
 		return written, err
 	}
 	go func() {
 		buffers := net.Buffers{head, call.Body}
-		_, err := buffers.WriteTo(c.tcp)
+		_, err := buffers.WriteTo(c.nc)
 		written <- err
 	}()
 	return written, nil
@@ -169,6 +182,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, false, err
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -18,7 +18,9 @@
 package http1
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 )
@@ -93,6 +95,8 @@
 	// EchoHeader names the header in which servers repeat the identity of a
 	// request.
 	EchoHeader string
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Connected is called with the time that a connection took to open.
 	Connected func(address string, took time.Duration)
 	// MaxBody is the largest body of an answer in bytes; 0 means maxBody.
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -44,6 +44,11 @@
 	if opts.MaxBody == 0 {
 		opts.MaxBody = maxBody
 	}
+	if opts.Dial == nil {
+		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return tcp.Dialer().DialContext(ctx, "tcp4", address)
+		}
+	}
 	return &Pool{opts: opts, idle: map[string][]*conn{}}
 }
 
@@ -94,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	start := time.Now()
-	nc, err := tcp.Dialer().DialContext(ctx, "tcp4", address)
+	nc, err := p.opts.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +109,7 @@
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	return newConn(address, nc.(*net.TCPConn)), nil
+	return newConn(address, nc), nil
 }
 
 func (p *Pool) keep(c *conn) {
@@ -114,7 +119,7 @@
 }
 
 func (p *Pool) discard(c *conn) {
-	c.tcp.Close()
+	c.nc.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
--- a/internal/serving/engine/forward.go
+++ b/internal/serving/engine/forward.go
@@ -12,6 +12,9 @@
 	// refusalPause is the least time after which a refused client should come
 	// back; a few requests have ended by then.
 	refusalPause = 100 * time.Millisecond
+	// downPause is the same when no server is up: servers that are down are tried
+	// again after that time at the least.
+	downPause = 300 * time.Millisecond
 )
 
 // forward sends a request to one server of one service and passes its answer on
--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -5,6 +5,9 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
+	"github.com/godwithatch/godwithatch/internal/routing/catalog"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/internal/serving/records"
 	"github.com/godwithatch/godwithatch/modules/fault"
@@ -32,6 +35,9 @@
 // that of the route, which belongs to one version of the configuration.
 func (e *Engine) gather(ctx context.Context, req *Request) *Answer {
 	shards := req.Route.Shards
+	if up := e.shardsUp(req.Route); up < req.Route.MinShards() {
+		return refused(fault.NoSnapshot, downPause, "%d of %d shards have a server, %d are needed", up, len(shards), req.Route.MinShards())
+	}
 	g := &gathering{req: req, tally: tally{need: req.Route.MinShards(), open: len(shards)}}
 	asks, cancel := context.WithCancelCause(ctx)
 	defer cancel(errAnswered)
@@ -46,6 +52,13 @@
 	return g.wait(ctx, parts)
 }
 
+// shardsUp returns how many shards have a server that is not taken to be down.
+func (e *Engine) shardsUp(r *catalog.Route) int {
+	return lo.CountBy(r.Shards, func(service string) bool {
+		return e.fleet.Group(service).HasServer(fleet.Ask{Allows: r.AllowsRegion})
+	})
+}
+
 // wait collects parts until the verdict says to answer or to give up.
 func (g *gathering) wait(ctx context.Context, parts <-chan part) *Answer {
 	objective := time.NewTimer(time.Until(g.req.Objective))
