--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	f := fleet.New(fleet.Place{Zone: "kgn-a", Region: "kingston"})
+//	f := fleet.New(fleet.Place{Host: "kgn-1", Zone: "kgn-a", Region: "kingston"})
 //	f.Update(entries, now)
 //	group := f.Group("slot-finder-3")
 //	server := group.Pick(now, fleet.Ask{Tried: tried, Allows: route.AllowsRegion})
@@ -32,6 +32,7 @@
 
 // Place is where this host runs.
 type Place struct {
+	Host   string
 	Zone   string
 	Region string
 }
@@ -117,7 +118,7 @@
 	for _, e := range entries {
 		s := f.servers[e.ID]
 		if s == nil || s.entry.Born != e.Born || s.entry.Address != e.Address || s.entry.Service != e.Service {
-			s = newServer(e, f.distance(e))
+			s = newServer(e, f.distance(e), f.place.Host)
 			s.roundTrip = f.roundTrip(e.Zone, s.distance)
 		}
 		servers[e.ID] = s
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/membership"
+	"github.com/godwithatch/godwithatch/modules/rendezvous"
 )
 
 const (
@@ -22,6 +24,10 @@
 	// failureFade is the time without use in which half of what is known of
 	// failures is forgotten.
 	failureFade = 2 * time.Second
+	// preferenceCost is the greatest difference that the order of a host makes. It
+	// keeps the host at few servers, so that connections are used again and the
+	// hosts of all regions fit into the limit of a server.
+	preferenceCost = 6 * time.Millisecond
 	// silenceFactor is how many usual service times a server may be silent.
 	silenceFactor = 3
 	// silenceSlack keeps short requests from following jitter.
@@ -65,8 +71,10 @@
 	entry     membership.Entry
 	distance  Distance
 	roundTrip time.Duration
-	evacuated bool
-	removed   bool
+	// preference orders servers that are equally good, differently at each host.
+	preference time.Duration
+	evacuated  bool
+	removed    bool
 
 	inFlight int
 	// progressAt is when the server last answered, or when it got work after a
@@ -82,8 +90,10 @@
 	crowdedUntil time.Time
 }
 
-func newServer(e membership.Entry, d Distance) *Server {
-	return &Server{entry: e, distance: d}
+// newServer returns what the host self knows of a new server.
+func newServer(e membership.Entry, d Distance, self string) *Server {
+	weight := float64(rendezvous.Weight(e.ID, self)) / math.MaxUint64
+	return &Server{entry: e, distance: d, preference: time.Duration(weight * float64(preferenceCost))}
 }
 
 // ID returns the identity of the server.
@@ -181,7 +191,7 @@
 func (s *Server) expected(now time.Time, typical time.Duration) time.Duration {
 	service := s.serviceTime(now, typical)
 	slots := max(s.entry.Capacity, 1)
-	cost := s.roundTrip + service + service*time.Duration(s.inFlight)/time.Duration(slots)
+	cost := s.preference + s.roundTrip + service + service*time.Duration(s.inFlight)/time.Duration(slots)
 	cost += time.Duration(s.failures * s.fade(now, failureFade) * float64(failureCost))
 	if s.isSilent(now, typical) {
 		cost += max(silenceCost, s.silence(now))
