Lines, metrics, state dump, trace and check for the front

One line tells the story of a failed, late or partial request: what was decided on, each send and its outcome. A writer that never blocks, at a bounded rate, failed requests first; what is left out is counted. Counters and a latency histogram with few labels on port 9464. godwithatch trace reads any logs; check lists all faults of the platform's settings file.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -7,11 +7,13 @@
 	"os"
 
 	"github.com/godwithatch/godwithatch/modules/setting"
+	"github.com/godwithatch/godwithatch/platform"
 	"github.com/godwithatch/godwithatch/services/table"
 )
 
 type checkCommand struct {
 	Settings []string `arg:"" optional:"" help:"Files with settings; several are also compared with each other." type:"path"`
+	Platform string   `help:"File with the settings of the users' platform." type:"path"`
 	Routes   string   `help:"File with the routes table." type:"path" and:"tables"`
 	Pools    string   `help:"File with the pools table." type:"path" and:"tables"`
 }
@@ -19,28 +21,34 @@
 // Run checks everything that is named and lists every fault.
 func (c *checkCommand) Run(o *output) error {
 	faults := c.checkSettings()
+	platformFaults := c.checkPlatform()
 	problems, err := c.checkTables()
 	if err != nil {
 		return err
 	}
+	n := len(faults) + len(platformFaults) + len(problems)
 	err = o.print(struct {
-		Settings setting.Faults `json:"settings"`
-		Tables   table.Problems `json:"tables"`
-	}{faults, problems}, func(w io.Writer) {
+		Settings setting.Faults         `json:"settings"`
+		Platform platform.SettingFaults `json:"platform"`
+		Tables   table.Problems         `json:"tables"`
+	}{faults, platformFaults, problems}, func(w io.Writer) {
+		for _, f := range platformFaults {
+			fmt.Fprintln(w, f.Error())
+		}
 		for _, f := range faults {
 			fmt.Fprintln(w, f.Error())
 		}
 		for _, p := range problems {
 			fmt.Fprintln(w, p.Error())
 		}
-		if len(faults)+len(problems) == 0 {
+		if n == 0 {
 			fmt.Fprintln(w, "no faults")
 		}
 	})
 	if err != nil {
 		return err
 	}
-	if n := len(faults) + len(problems); n > 0 {
+	if n > 0 {
 		return errFound.New("%d", n)
 	}
 	return nil
@@ -61,6 +69,17 @@
 	return append(faults, setting.CheckTogether(all)...)
 }
 
+func (c *checkCommand) checkPlatform() platform.SettingFaults {
+	if c.Platform == "" {
+		return nil
+	}
+	var faults platform.SettingFaults
+	if _, err := platform.LoadSettings(c.Platform); err != nil && !errors.As(err, &faults) {
+		faults = platform.SettingFaults{{Path: c.Platform, Field: "file", Reason: err.Error()}}
+	}
+	return faults
+}
+
 func (c *checkCommand) checkTables() (table.Problems, error) {
 	if c.Routes == "" {
 		return nil, nil
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -45,6 +45,7 @@
 	Check   checkCommand   `cmd:"" help:"Check settings and tables; every fault is listed."`
 	Status  statusCommand  `cmd:"" help:"Print the status of a daemon."`
 	Dump    dumpCommand    `cmd:"" help:"Print the state of a daemon, section by section."`
+	Trace   traceCommand   `cmd:"" help:"Tell the story of one request from log lines."`
 	Query   queryCommand   `cmd:"" help:"Send one query and print its answer."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
--- a/cmd/front.go
+++ b/cmd/front.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/godwithatch/godwithatch/internal/telemetry/lines"
 	"github.com/godwithatch/godwithatch/modules/logging"
 	"github.com/godwithatch/godwithatch/platform"
 )
@@ -13,6 +14,8 @@
 type frontCommand struct {
 	Settings string `help:"File with the platform's settings; by default the one that the platform names." type:"path"`
 	LogLevel string `help:"Least level of log lines." default:"info" enum:"debug,info,warn,error"`
+	LogGood  bool   `help:"Log good requests too; the rate of lines stays bounded."`
+	Metrics  int    `help:"Port of the metrics and of the state dump; 0 for none." default:"9464"`
 }
 
 // Run serves clients on the users' platform until SIGTERM or SIGINT, then stops
@@ -26,8 +29,10 @@
 	if err != nil {
 		return err
 	}
-	log := logging.New(o.w, c.LogLevel, settings.Host())
+	out := lines.New(o.w, lines.Options{})
+	defer out.Close()
+	log := logging.New(out, c.LogLevel, settings.Host())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return platform.NewFront(settings, log).Run(ctx)
+	return platform.NewFront(settings, log, platform.Options{Lines: out, MetricsPort: c.Metrics, ExplainsGood: c.LogGood}).Run(ctx)
 }
--- /dev/null
+++ b/cmd/trace.go
@@ -0,0 +1,47 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/godwithatch/godwithatch/internal/telemetry/story"
+)
+
+type traceCommand struct {
+	Request string   `arg:"" help:"Identity of the request."`
+	Logs    []string `arg:"" optional:"" help:"Files with log lines of any hosts; standard input if there are none." type:"existingfile"`
+}
+
+// Run prints what the hosts logged of one request, in order, and what each of them
+// believed when it decided.
+func (c *traceCommand) Run(o *output) error {
+	readers := []io.Reader{os.Stdin}
+	if len(c.Logs) > 0 {
+		readers = readers[:0]
+	}
+	for _, path := range c.Logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		readers = append(readers, f)
+	}
+	lines, err := story.Read(c.Request, readers...)
+	if err != nil {
+		return err
+	}
+	err = o.print(lines, func(w io.Writer) {
+		for _, l := range lines {
+			fmt.Fprint(w, l)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return errFound.New("no line of request %s", c.Request)
+	}
+	return nil
+}
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -14,10 +14,10 @@
 )
 
 // server plays one connection of a server.
-type server func(t *testing.T, nc net.Conn, r *bufio.Reader)
+type server func(nc net.Conn, r *bufio.Reader)
 
 // newTestPool returns a pool whose connections are played by servers in turn.
-func newTestPool(t *testing.T, servers ...server) (*Pool, *int) {
+func newTestPool(servers ...server) (*Pool, *int) {
 	dials := 0
 	return NewPool(Options{EchoHeader: "Id", Dial: func(context.Context, string) (net.Conn, error) {
 		if dials == len(servers) {
@@ -28,14 +28,14 @@
 		dials++
 		go func() {
 			defer far.Close()
-			play(t, far, bufio.NewReader(far))
+			play(far, bufio.NewReader(far))
 		}()
 		return near, nil
 	}}), &dials
 }
 
 // answer reads one request and writes text for it.
-func answer(t *testing.T, nc net.Conn, r *bufio.Reader, text string) bool {
+func answer(nc net.Conn, r *bufio.Reader, text string) bool {
 	req, err := http.ReadRequest(r)
 	if err != nil {
 		return false
@@ -49,9 +49,9 @@
 
 // answers plays a connection that gives one text a request.
 func answers(texts ...string) server {
-	return func(t *testing.T, nc net.Conn, r *bufio.Reader) {
+	return func(nc net.Conn, r *bufio.Reader) {
 		for _, text := range texts {
-			if !answer(t, nc, r, text) {
+			if !answer(nc, r, text) {
 				return
 			}
 		}
@@ -64,7 +64,7 @@
 
 func TestConnectionsAreUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, dials := newTestPool(t, answers(good, good))
+		p, dials := newTestPool(answers(good, good))
 		for range 2 {
 			reply, err := p.Exchange(t.Context(), "s", call())
 			if err != nil || string(reply.Body) != "ok" {
@@ -86,7 +86,7 @@
 // (jeroa-find, scale-1: CONFIG).
 func TestNoCallIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, dials := newTestPool(t, answers(good), answers(good))
+		p, dials := newTestPool(answers(good), answers(good))
 		if _, err := p.Exchange(t.Context(), "s", call()); err != nil {
 			t.Fatal(err)
 		}
@@ -105,7 +105,7 @@
 func TestAnswersOfOthersAreReadPast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		other := "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 5\r\n\r\nwrong"
-		p, dials := newTestPool(t, answers(other+good), answers(good))
+		p, dials := newTestPool(answers(other+good), answers(good))
 		for i := range 2 {
 			reply, err := p.Exchange(t.Context(), "s", call())
 			if err != nil || string(reply.Body) != "ok" {
@@ -120,7 +120,7 @@
 
 func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, dials := newTestPool(t, answers(good+"HTTP/1.1 200 OK\r\n"), answers(good))
+		p, dials := newTestPool(answers(good+"HTTP/1.1 200 OK\r\n"), answers(good))
 		for range 2 {
 			if reply, err := p.Exchange(t.Context(), "s", call()); err != nil || string(reply.Body) != "ok" {
 				t.Fatalf("got %v, %v", reply, err)
@@ -143,7 +143,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p, _ := newTestPool(t, answers(test.text))
+				p, _ := newTestPool(answers(test.text))
 				reply, err := p.Exchange(t.Context(), "s", call())
 				var failure *Failure
 				if !errors.As(err, &failure) || failure.Stage == Unsent {
@@ -159,7 +159,7 @@
 
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, _ := newTestPool(t, answers("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it"))
+		p, _ := newTestPool(answers("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it"))
 		reply, err := p.Exchange(t.Context(), "s", call())
 		if err != nil || string(reply.Body) != "all of it" || p.Open() != 0 {
 			t.Fatalf("got %v, %v, %d open", reply, err, p.Open())
@@ -171,7 +171,7 @@
 // must not meet another request.
 func TestEarlyAnswerEndsTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, _ := newTestPool(t, func(_ *testing.T, nc net.Conn, r *bufio.Reader) {
+		p, _ := newTestPool(func(nc net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err != nil {
 				return
 			}
@@ -188,7 +188,7 @@
 
 func TestTheEndOfTheContextEndsTheExchange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, _ := newTestPool(t, func(_ *testing.T, _ net.Conn, r *bufio.Reader) {
+		p, _ := newTestPool(func(_ net.Conn, r *bufio.Reader) {
 			io.Copy(io.Discard, r) //nolint:errcheck // It ends when the client closes.
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
@@ -227,12 +227,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		stated := "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok"
 		hold := func(text string) server {
-			return func(t *testing.T, nc net.Conn, r *bufio.Reader) {
-				answer(t, nc, r, text)
+			return func(nc net.Conn, r *bufio.Reader) {
+				answer(nc, r, text)
 				io.Copy(io.Discard, r) //nolint:errcheck // It ends when the client closes.
 			}
 		}
-		p, dials := newTestPool(t, hold(stated), hold(good))
+		p, dials := newTestPool(hold(stated), hold(good))
 		for range 2 {
 			if _, err := p.Exchange(t.Context(), "s", call()); err != nil {
 				t.Fatal(err)
@@ -252,7 +252,7 @@
 
 func TestNonIdempotentCallsUseFreshConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p, dials := newTestPool(t, answers(good, good), answers(good))
+		p, dials := newTestPool(answers(good, good), answers(good))
 		c := call()
 		c.Fresh = true
 		for range 2 {
--- /dev/null
+++ b/internal/routing/fleet/dump.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ServerState is what this host believes of one server, for people.
+type ServerState struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Zone     string  `json:"zone"`
+	Address  string  `json:"address"`
+	Open     bool    `json:"open"`
+	Down     bool    `json:"down"`
+	InFlight int     `json:"in_flight"`
+	WorkMs   float64 `json:"service_ms"`
+	RoundMs  float64 `json:"round_trip_ms"`
+	Silence  float64 `json:"silence_ms"`
+	Failures float64 `json:"failures"`
+	Sequence int64   `json:"entry_sequence"`
+	Tokens   int     `json:"extra_sends_left"`
+	Waiting  int     `json:"requests_waiting"`
+}
+
+// Dump returns the beliefs of all servers, by service and identity.
+func (f *Fleet) Dump(now time.Time) []ServerState {
+	f.mu.RLock()
+	groups := make([]*Group, 0, len(f.groups))
+	for _, g := range f.groups {
+		groups = append(groups, g)
+	}
+	f.mu.RUnlock()
+	list := []ServerState{}
+	for _, g := range groups {
+		list = append(list, g.dump(now)...)
+	}
+	slices.SortFunc(list, func(a, b ServerState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+func (g *Group) dump(now time.Time) []ServerState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]ServerState, 0, len(g.servers))
+	for _, s := range g.servers {
+		list = append(list, ServerState{
+			ID: s.entry.ID, Service: s.entry.Service, Zone: s.entry.Zone, Address: s.entry.Address,
+			Open: s.isOpen(), Down: s.isDark(now, g.typical), InFlight: s.inFlight,
+			WorkMs: inMilliseconds(s.service), RoundMs: inMilliseconds(s.roundTrip),
+			Silence: inMilliseconds(s.silence(now)), Failures: s.failures * s.fade(now, failureFade),
+			Sequence: s.entry.Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters),
+		})
+	}
+	return list
+}
+
+// Waiting returns how many requests wait for a server.
+func (f *Fleet) Waiting() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	n := 0
+	for _, g := range f.groups {
+		n += g.Waiting()
+	}
+	return n
+}
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -36,6 +36,9 @@
 	Withdrawn
 )
 
+// OutcomeCount is the number of outcomes.
+const OutcomeCount = int(Withdrawn) + 1
+
 //go:generate ../../../.bin/enumer -type=Outcome -transform=snake -output=outcome_enumer.go
 
 const (
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -111,6 +111,9 @@
 // Zone returns the zone of the server.
 func (s *Server) Zone() string { return s.entry.Zone }
 
+// Sequence returns how often the server had written its entry when it was read.
+func (s *Server) Sequence() int64 { return s.entry.Sequence }
+
 // Distance returns how far the server is.
 func (s *Server) Distance() Distance { return s.distance }
 
--- a/internal/serving/engine/ask.go
+++ b/internal/serving/engine/ask.go
@@ -29,6 +29,9 @@
 	NoBudget
 )
 
+// denialCount is the number of reasons, NotDenied included.
+const denialCount = int(NoBudget) + 1
+
 //go:generate ../../../.bin/enumer -type=Denial -transform=snake -output=denial_enumer.go
 
 // ask is one request to one service: a first send, and further ones while they
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -94,8 +94,10 @@
 	Fault *fault.Fault
 	// RetryAfter is when a refused client should come back; 0 says nothing.
 	RetryAfter time.Duration
-	// Sends is how many requests went to servers.
-	Sends int
+	// Steps are the requests that went to servers, in order.
+	Steps []Step
+	// IsLate means that the answer left after the objective.
+	IsLate bool
 }
 
 // Engine answers requests. It is safe for concurrent use.
@@ -103,6 +105,7 @@
 	fleet    *fleet.Fleet
 	sender   Sender
 	splitter catalog.Splitter
+	counters Counters
 }
 
 // New returns an Engine.
@@ -110,16 +113,47 @@
 	return &Engine{fleet: f, sender: sender}
 }
 
+// Counters returns the counters of the engine.
+func (e *Engine) Counters() *Counters { return &e.counters }
+
 // Run answers one request. It ends at the request's deadline, and earlier when
 // ctx does, which means that the client has gone.
 func (e *Engine) Run(ctx context.Context, req *Request) *Answer {
-	if !time.Now().Before(req.Deadline) {
+	e.counters.InFlight.Add(1)
+	defer e.counters.InFlight.Add(-1)
+	answer := e.answer(ctx, req)
+	answer.IsLate = time.Now().After(req.Objective)
+	e.count(ctx, answer)
+	return answer
+}
+
+func (e *Engine) answer(ctx context.Context, req *Request) *Answer {
+	switch {
+	case !time.Now().Before(req.Deadline):
 		return refused(fault.DeadlineExceeded, 0, "the deadline had passed on arrival")
-	}
-	if req.Route.IsSharded() {
+	case req.Route.IsSharded():
 		return e.gather(ctx, req)
+	default:
+		return e.forward(ctx, req)
+	}
+}
+
+func (e *Engine) count(ctx context.Context, a *Answer) {
+	c := &e.counters
+	switch {
+	case ctx.Err() != nil:
+		c.Left.Add(1)
+	case a.Fault != nil && a.Fault.Outcome() == fault.NotRun:
+		c.Refused.Add(1)
+	case a.Fault != nil:
+		c.Failed.Add(1)
+	case a.IsLate:
+		c.Late.Add(1)
+	case a.Missing > 0:
+		c.Partial.Add(1)
+	default:
+		c.Whole.Add(1)
 	}
-	return e.forward(ctx, req)
 }
 
 // refused is the answer to a request that is proved not to have run.
--- a/internal/serving/engine/forward.go
+++ b/internal/serving/engine/forward.go
@@ -39,7 +39,7 @@
 	var join single
 	run := e.newRun(ctx, req, &join, []string{service})
 	run.wait(ctx)
-	answer := &Answer{Sends: run.sends}
+	answer := &Answer{Steps: run.steps}
 	r := join.reply
 	if r == nil {
 		r = run.unanswered()
--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -47,8 +47,9 @@
 	g := &gathering{req: req, tally: tally{need: req.Route.MinShards(), open: len(shards)}}
 	run := e.newRun(ctx, req, g, shards)
 	verdict := run.wait(ctx)
+	g.noteOut(run)
 	if verdict == answerNow {
-		return g.answer(run.sends)
+		return g.answer(run.steps)
 	}
 	return g.failure(ctx, run)
 }
@@ -60,7 +61,16 @@
 	})
 }
 
-func (g *gathering) answer(sends int) *Answer {
+// noteOut notes the parts whose reply is still out, and why no other send followed.
+func (g *gathering) noteOut(run *run) {
+	for i := range run.asks {
+		if a := &run.asks[i]; !a.isDone {
+			g.lost = append(g.lost, "out/"+a.denied.String())
+		}
+	}
+}
+
+func (g *gathering) answer(steps []Step) *Answer {
 	bodies := make([][]byte, len(g.good))
 	signatures := make([]string, len(g.good))
 	for i, r := range g.good {
@@ -71,7 +81,7 @@
 		Signatures: signatures,
 		Missing:    len(g.req.Route.Shards) - len(g.good),
 		Lost:       g.lost,
-		Sends:      sends,
+		Steps:      steps,
 	}
 }
 
@@ -99,6 +109,6 @@
 			g.tally.have, len(g.req.Route.Shards), g.tally.need, strings.Join(g.lost, " ")),
 		Lost:       g.lost,
 		RetryAfter: retryAfter,
-		Sends:      run.sends,
+		Steps:      run.steps,
 	}
 }
--- a/internal/serving/engine/replay_test.go
+++ b/internal/serving/engine/replay_test.go
@@ -168,12 +168,13 @@
 	}
 }
 
-func (w *world) runsOf(shard int) int {
+// deskRuns returns how often servers of the forwarded route ran a request.
+func (w *world) deskRuns() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
 	for zone := range testZones {
-		n += w.runs[serverID(shard, zone)]
+		n += w.runs[serverID(0, zone)]
 	}
 	return n
 }
@@ -188,8 +189,8 @@
 			w.set(behaviour{breaks: true}, serverID(0, zone))
 		}
 		a := e.Run(t.Context(), request(forwardRoute(false, 2)))
-		if w.runsOf(0) != 1 || a.Fault == nil || a.Fault.Outcome() != fault.Unknown {
-			t.Fatalf("%d runs, %v", w.runsOf(0), a.Fault)
+		if w.deskRuns() != 1 || a.Fault == nil || a.Fault.Outcome() != fault.Unknown {
+			t.Fatalf("%d runs, %v", w.deskRuns(), a.Fault)
 		}
 	})
 }
@@ -230,14 +231,14 @@
 		}
 		refused := 0
 		for range 300 {
-			before := w.runsOf(0)
+			before := w.deskRuns()
 			a := e.Run(t.Context(), request(forwardRoute(false, 2)))
 			time.Sleep(testTimeout)
 			if a.Fault == nil || a.Fault.Outcome() != fault.NotRun {
 				continue
 			}
 			refused++
-			if w.runsOf(0) != before {
+			if w.deskRuns() != before {
 				t.Fatalf("said not run, but it ran: %v", a.Fault)
 			}
 		}
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -42,6 +42,9 @@
 	ask    *ask
 	reply  *Reply
 	server *fleet.Server
+	// step is the index of the send that the reply is for, took how long it was out.
+	step int
+	took time.Duration
 }
 
 // run is one request on its way: one ask for each service, driven by one loop.
@@ -58,7 +61,7 @@
 	start time.Time
 	// answered are the asks that have an answer.
 	answered int
-	sends    int
+	steps    []Step
 	// waiting are the asks that wait for room.
 	waiting int
 }
@@ -68,7 +71,7 @@
 	base, stop := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
 	base, cancel := context.WithCancelCause(base)
 	r := &run{
-		engine: e, req: req, join: join, asks: make([]ask, len(services)), base: base,
+		engine: e, req: req, join: join, asks: make([]ask, len(services)), base: base, steps: make([]Step, 0, len(services)+len(services)/4+1),
 		events: make(chan event, (maxSends+1)*len(services)), start: time.Now(),
 		cancel: func(cause error) {
 			cancel(cause)
@@ -185,16 +188,17 @@
 func (r *run) handle(x event) {
 	a := x.ask
 	if x.reply != nil {
+		step := &r.steps[x.step]
+		step.Outcome, step.Took, step.Err = x.reply.Outcome, x.took, x.reply.Err
 		r.handleReply(a, x.reply)
 		return
 	}
 	r.waiting--
-	switch {
-	case x.server == nil:
+	if x.server == nil {
 		r.finish(a, &Reply{Outcome: fleet.Unreachable, Err: errNoServer})
-	default:
-		r.send(a, x.server)
+		return
 	}
+	r.send(a, x.server)
 }
 
 func (r *run) handleReply(a *ask, reply *Reply) {
@@ -250,7 +254,13 @@
 // and the budget pays.
 func (r *run) sendAgain(a *ask, isFree bool) bool {
 	a.denied = r.trySend(a, isFree)
-	return a.denied == NotDenied
+	c := &r.engine.counters
+	if a.denied == NotDenied {
+		c.Seconds.Add(1)
+		return true
+	}
+	c.Denied[a.denied].Add(1)
+	return false
 }
 
 func (r *run) trySend(a *ask, isFree bool) Denial {
@@ -276,14 +286,17 @@
 	a.open++
 	a.sends++
 	a.attempts++
-	r.sends++
-	a.nextAt = time.Now().Add(a.group.SecondSendAfter(s, time.Now()))
+	start := time.Now()
+	a.nextAt = start.Add(a.group.SecondSendAfter(s, start))
+	step := len(r.steps)
+	r.steps = append(r.steps, Step{Server: s, At: start.Sub(r.start)})
 	go func() {
-		start := time.Now()
 		reply := r.engine.sender.Send(r.base, s, r.req)
 		now := time.Now()
-		a.group.Done(s, outcomeOf(r.base, reply), now.Sub(start), now)
-		r.events <- event{ask: a, reply: reply}
+		outcome := outcomeOf(r.base, reply)
+		a.group.Done(s, outcome, now.Sub(start), now)
+		r.engine.counters.Sends[outcome].Add(1)
+		r.events <- event{ask: a, reply: reply, step: step, took: now.Sub(start)}
 	}()
 }
 
--- a/internal/store/ledger/ledger.go
+++ b/internal/store/ledger/ledger.go
@@ -18,7 +18,10 @@
 // host is priced), listing again (the bytes are).
 package ledger
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Ledger keeps the revisions that were told of. The zero value is empty. It is
 // not safe for concurrent use.
@@ -54,6 +57,9 @@
 	l.seen[revision] = true
 }
 
+// Floors returns the revision up to which the watch of each kind has told.
+func (l *Ledger) Floors() map[string]int64 { return maps.Clone(l.floors) }
+
 // Check takes in the revision that the store has reached and returns the kinds
 // whose watches are to be restarted.
 func (l *Ledger) Check(revision int64) []string {
--- /dev/null
+++ b/internal/telemetry/metrics/metrics.go
@@ -0,0 +1,159 @@
+// Package metrics serves counters, gauges and the latency of requests of one host
+// as text, and a dump of its state as JSON.
+//
+// # Usage
+//
+//	m := metrics.New(metrics.Sources{Engine: e.Counters(), Fleet: f, ...})
+//	m.Observe("sharded", took)
+//	http.Handle("/", m.Handler())
+//
+// Labels have few values: kinds of routes, outcomes and reasons, never names of
+// routes or servers, so that the volume does not grow with the deployment.
+package metrics
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/godwithatch/godwithatch/internal/routing/fleet"
+	"github.com/godwithatch/godwithatch/internal/serving/engine"
+	"github.com/godwithatch/godwithatch/internal/telemetry/lines"
+)
+
+const namespace = "godwithatch"
+
+// The paths.
+const (
+	PathMetrics = "/metrics"
+	PathState   = "/debug/state"
+)
+
+// buckets are the bounds of the latency histogram in seconds; the objectives of the
+// deployments lie between 0.08 and 0.6.
+var buckets = []float64{0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.3, 0.6, 1, 3}
+
+// Sources are where the figures come from.
+type Sources struct {
+	Engine *engine.Counters
+	Fleet  *fleet.Fleet
+	Lines  *lines.Writer
+	// Connections returns the open connections to servers.
+	Connections func() int
+	// ConfigVersion returns the version of the configuration in force, or 0.
+	ConfigVersion func() int64
+	// StoreAge returns the time since the store last answered.
+	StoreAge func() time.Duration
+	// State returns further parts of the state for the dump.
+	State func() any
+}
+
+// Metrics are the figures of one host.
+type Metrics struct {
+	sources  Sources
+	registry *prometheus.Registry
+	latency  *prometheus.HistogramVec
+	store    *prometheus.CounterVec
+}
+
+// New returns the Metrics over sources.
+func New(s Sources) *Metrics {
+	m := &Metrics{
+		sources:  s,
+		registry: prometheus.NewRegistry(),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Buckets: buckets,
+			Help: "Time from the arrival of a request to its answer, by kind of route.",
+		}, []string{"kind"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_calls_total", Help: "Calls to the store by status; 0 is no answer.",
+		}, []string{"status"}),
+	}
+	m.registry.MustRegister(m.latency, m.store)
+	m.registerRequests()
+	m.registerBeliefs()
+	return m
+}
+
+// Observe records the time of one request of a kind of route.
+func (m *Metrics) Observe(kind string, took time.Duration) {
+	m.latency.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+// StoreCall counts a call to the store by its status.
+func (m *Metrics) StoreCall(status string) { m.store.WithLabelValues(status).Inc() }
+
+func (m *Metrics) counter(name, help, label, value string, f func() float64) {
+	opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+	if label != "" {
+		opts.ConstLabels = prometheus.Labels{label: value}
+	}
+	m.registry.MustRegister(prometheus.NewCounterFunc(opts, f))
+}
+
+func (m *Metrics) gauge(name, help string, f func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
+}
+
+func (m *Metrics) registerRequests() {
+	c := m.sources.Engine
+	const name, help = "requests_total", "Requests by their end."
+	m.counter(name, help, "end", "whole", func() float64 { return float64(c.Whole.Load()) })
+	m.counter(name, help, "end", "partial", func() float64 { return float64(c.Partial.Load()) })
+	m.counter(name, help, "end", "late", func() float64 { return float64(c.Late.Load()) })
+	m.counter(name, help, "end", "refused", func() float64 { return float64(c.Refused.Load()) })
+	m.counter(name, help, "end", "failed", func() float64 { return float64(c.Failed.Load()) })
+	m.counter(name, help, "end", "client_left", func() float64 { return float64(c.Left.Load()) })
+	for i := range c.Sends {
+		m.counter("sends_total", "Requests to servers by their outcome.", "outcome", fleet.Outcome(i).String(),
+			func() float64 { return float64(c.Sends[i].Load()) })
+	}
+	m.counter("second_sends_total", "Sends beyond the first for a service.", "", "", func() float64 { return float64(c.Seconds.Load()) })
+	for i := range c.Denied {
+		if d := engine.Denial(i); d != engine.NotDenied {
+			m.counter("second_sends_denied_total", "Further sends that did not happen, by reason.", "reason", d.String(),
+				func() float64 { return float64(c.Denied[i].Load()) })
+		}
+	}
+	m.gauge("requests_in_flight", "Requests under way.", func() float64 { return float64(c.InFlight.Load()) })
+}
+
+func (m *Metrics) registerBeliefs() {
+	s := m.sources
+	m.gauge("requests_waiting", "Requests that wait for room at a server.", func() float64 { return float64(s.Fleet.Waiting()) })
+	m.gauge("servers_believed", "Servers that this host believes in.", func() float64 { return float64(s.Fleet.Size()) })
+	m.gauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
+	m.gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
+	m.gauge("store_silence_seconds", "Time since the store last answered.", func() float64 { return s.StoreAge().Seconds() })
+	m.counter("log_lines_dropped_total", "Log lines lost because the output was behind.", "", "", func() float64 { return float64(s.Lines.Dropped()) })
+	m.counter("log_requests_denied_total", "Requests without lines because of the rate.", "", "", func() float64 { return float64(s.Lines.Denied()) })
+}
+
+// Handler serves the figures and the dump.
+func (m *Metrics) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true}))
+	mux.HandleFunc("GET "+PathState, m.serveState)
+	return mux
+}
+
+func (m *Metrics) serveState(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	state := struct {
+		Time    time.Time           `json:"time"`
+		Config  int64               `json:"config_version"`
+		StoreMs int64               `json:"store_silence_ms"`
+		More    any                 `json:"store"`
+		Servers []fleet.ServerState `json:"servers"`
+	}{now, m.sources.ConfigVersion(), m.sources.StoreAge().Milliseconds(), m.sources.State(), m.sources.Fleet.Dump(now)}
+	if err := e.Encode(state); err != nil {
+		// The reader has gone.
+		return
+	}
+}
