--- a/cmd/front.go
+++ b/cmd/front.go
@@ -34,5 +34,9 @@
 	log := logging.New(out, c.LogLevel, settings.Host())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return platform.NewFront(settings, log, platform.Options{Lines: out, MetricsPort: c.Metrics, ExplainsGood: c.LogGood}).Run(ctx)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return platform.NewFront(settings, log, platform.Options{
+		Lines: out, MetricsPort: c.Metrics, Reload: reload, ExplainsGood: c.LogGood,
+	}).Run(ctx)
 }
