--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,12 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 LDFLAGS := -X github.com/godwithatch/godwithatch/cmd.Version=$(VERSION)
 
-.PHONY: build test check lint format generate generated unit process fuzz demo measure slopes bench tools clean
+.PHONY: build test check lint format generate generated unit process soak fuzz demo measure slopes bench tools clean
 
 build: ## Build the program.
 	go build -ldflags "$(LDFLAGS)" -o $(BIN)/godwithatch .
 
-test: build check unit process ## All checks and tests.
+test: build check unit process soak ## All checks and tests.
 
 check: generated lint ## Format, lint, vet, generated code.
 	go vet ./...
@@ -44,15 +44,22 @@
 	@git diff --exit-code --stat -- '*_enumer.go'
 
 unit: ## Unit, property and trace tests with the race detector.
-	go run ./tests/known -race -timeout 60m ./cmd/... ./modules/... ./routers/... ./services/... ./tests/standin/... ./tests/proof/...
+	go run ./tests/known -race -timeout 60m ./cmd/... ./internal/... ./modules/... ./platform/... ./routers/... ./services/... ./tests/standin/... ./tests/proof/...
 
 process: ## Tests that run separate processes.
 	go run ./tests/known -count=1 -timeout 15m ./tests/process/...
 
+SEED ?= 1
+SECONDS ?= 10
+soak: ## Real fronts as processes under random faults; SEED and SECONDS set the run.
+	go run ./tests/soak -seed $(SEED) -seconds $(SECONDS)
+
 fuzz: ## Fuzz the parsers for a minute each.
 	go test -fuzz=FuzzJoin -fuzztime=60s ./services/table
 	go test -fuzz=FuzzParse -fuzztime=60s ./modules/setting
 	go test -fuzz=FuzzBody -fuzztime=60s ./routers/caller
+	go test -run '^$$' -fuzz=FuzzObjects -fuzztime=60s ./platform
+	go test -run '^$$' -fuzz=FuzzSettings -fuzztime=60s ./platform
 	go test -fuzz=FuzzMessage -fuzztime=60s ./services/peer
 
 demo: ## Run a small deployment as separate processes.
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -60,11 +61,8 @@
 
 // MinShards returns the least number of shards in a successful answer.
 func (r *Route) MinShards() int {
-	n := 1
-	for float64(n) < r.MinShardShare*float64(len(r.Shards))-shareTolerance {
-		n++
-	}
-	return n
+	share := min(max(r.MinShardShare, 0), 1)
+	return max(int(math.Ceil(share*float64(len(r.Shards))-shareTolerance)), 1)
 }
 
 // shareTolerance absorbs the rounding of a share that is meant as a fraction.
--- /dev/null
+++ b/tests/soak/soak.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/godwithatch/godwithatch/tests/standin/link"
+	"github.com/godwithatch/godwithatch/tests/standin/metadata"
+	"github.com/godwithatch/godwithatch/tests/standin/shardserver"
+)
+
+const (
+	shards     = 4
+	replicas   = 3
+	zones      = 3
+	callerRate = 25 * time.Millisecond
+	callers    = 4
+	drainBound = 4 * time.Second
+)
+
+// upstream is one server with its link.
+type upstream struct {
+	id, service, zone, address string
+
+	server   *shardserver.Server
+	link     *link.Listener
+	http     *http.Server
+	sequence int
+	gone     bool
+}
+
+// front is one front process.
+type front struct {
+	name, ip string
+	cmd      *exec.Cmd
+	// incarnation counts the starts; seen are the versions that it served.
+	incarnation int
+	stopping    time.Time
+	down        bool
+}
+
+// soak is one run.
+type soak struct {
+	dir, binary string
+	rng         *rand.Rand
+	store       *metadata.Store
+	storeLink   *link.Listener
+	fronts      []*front
+	upstreams   []*upstream
+	report      *report
+
+	mu      sync.Mutex
+	version int
+	// servers are all that ever ran, by identity.
+	servers map[string]*shardserver.Server
+	// disturbed is when the store or a front was last not itself, configured when
+	// the last version was written.
+	disturbed, configured time.Time
+}
+
+func newSoak(seed uint64, fronts int, binary string) (*soak, error) {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		return nil, err
+	}
+	s := &soak{
+		dir: dir, binary: binary, rng: rand.New(rand.NewPCG(seed, 7)), store: metadata.New(), report: newReport(),
+		servers: map[string]*shardserver.Server{},
+	}
+	if s.binary == "" {
+		s.binary = filepath.Join(dir, "godwithatch")
+		if out, err := exec.Command("go", "build", "-o", s.binary, ".").CombinedOutput(); err != nil {
+			return nil, fmt.Errorf("build: %w: %s", err, out)
+		}
+	}
+	l, err := net.Listen("tcp4", "127.0.1.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.storeLink = link.New(l)
+	go http.Serve(s.storeLink, s.store) //nolint:errcheck // It ends with the process.
+	for i := range shards * replicas {
+		if err := s.addUpstream(i); err != nil {
+			return nil, err
+		}
+	}
+	s.configure()
+	for i := range fronts {
+		f := &front{name: "front-" + strconv.Itoa(i), ip: fmt.Sprintf("127.1.%d.%d", seed%250, i+1)}
+		s.fronts = append(s.fronts, f)
+		if err := s.start(f, i); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func zone(i int) string { return "z" + strconv.Itoa(i%zones) }
+
+// addUpstream starts a server under a new identity.
+func (s *soak) addUpstream(i int) error {
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.0.2.%d:0", i%200+1))
+	if err != nil {
+		return err
+	}
+	u := &upstream{
+		id: fmt.Sprintf("i-%d-%d", i, s.report.next()), service: "shard" + strconv.Itoa(i/replicas), zone: zone(i),
+		address: l.Addr().String(), link: link.New(l),
+	}
+	u.server = shardserver.New(u.id)
+	u.http = &http.Server{Handler: u.server}
+	go u.http.Serve(u.link) //nolint:errcheck // It ends when the soak closes it.
+	s.mu.Lock()
+	s.servers[u.id] = u.server
+	s.mu.Unlock()
+	if i < len(s.upstreams) {
+		s.upstreams[i] = u
+	} else {
+		s.upstreams = append(s.upstreams, u)
+	}
+	s.beat(u, "ready")
+	return nil
+}
+
+func (s *soak) beat(u *upstream, state string) {
+	u.sequence++
+	s.store.Put("servers", u.id, map[string]any{
+		"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "capacity": 4,
+		"state": state, "cold_remaining_ms": 0, "sequence": u.sequence, "born": 1,
+	})
+}
+
+// configure writes the next version; each adds a route and removes none.
+func (s *soak) configure() {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.configured = time.Now()
+	s.mu.Unlock()
+	names := make([]string, shards)
+	for i := range names {
+		names[i] = "shard" + strconv.Itoa(i)
+	}
+	route := func(name, kind string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "type": kind, "timeout_ms": 1500,
+			"target_latency_ms": 300, "priority": 1, "max_attempts": 2, "allowed_regions": []string{},
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	routes := []map[string]any{
+		route("all", "read_only", map[string]any{"gather": names, "top_k": 5, "min_shard_ratio": 0.75}),
+		route("one", "read_only", map[string]any{"service": "shard0"}),
+		route("desk", "non_idempotent", map[string]any{"service": "shard1"}),
+	}
+	for v := 1; v <= version; v++ {
+		routes = append(routes, route("v"+strconv.Itoa(v), "read_only", map[string]any{"service": "shard2"}))
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": version, "routes": routes, "services": []any{},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// start writes the settings of a front and starts its process.
+func (s *soak) start(f *front, i int) error {
+	settings := fmt.Sprintf(`node_name: %q
+zone: %q
+region: %q
+zones: {z0: r0, z1: r1, z2: r2}
+bind_addresses: {front: "%s:8080", ready: "%s:8081"}
+bounds: {grace_s: 6, drain_ms: %d, config_apply_ms: 4000}
+platform: {address: %q, form: "objects"}
+`, f.name, zone(i), "r"+strconv.Itoa(i%zones), f.ip, f.ip, drainBound.Milliseconds(), s.storeLink.Addr())
+	path := filepath.Join(s.dir, f.name+".yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(s.dir, f.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(s.binary, "front", "--settings", path)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.cmd, f.down, f.stopping = cmd, false, time.Time{}
+	f.incarnation++
+	return nil
+}
+
+// signal sends a signal to the front's process, which this soak started.
+func (s *soak) signal(f *front, sig syscall.Signal) {
+	if err := f.cmd.Process.Signal(sig); err != nil {
+		s.report.fail("a process ended by itself: %s: %v", f.name, err)
+	}
+}
+
+// restart ends a front with a signal, waits for its end and starts it again.
+func (s *soak) restart(f *front, i int, sig syscall.Signal) {
+	s.mu.Lock()
+	f.stopping = time.Now()
+	f.down = sig == syscall.SIGKILL
+	s.mu.Unlock()
+	s.signal(f, sig)
+	start := time.Now()
+	err := f.cmd.Wait()
+	if sig == syscall.SIGTERM {
+		s.report.check("a planned stop ends in time", err == nil && time.Since(start) < 6500*time.Millisecond, "%s: %v after %s", f.name, err, time.Since(start))
+	}
+	s.mu.Lock()
+	f.down = true
+	s.mu.Unlock()
+	if err := s.start(f, i); err != nil {
+		s.report.fail("start %s: %v", f.name, err)
+	}
+}
