--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -35,7 +35,6 @@
 	link     *link.Listener
 	http     *http.Server
 	sequence int
-	gone     bool
 }
 
 // front is one front process.
