Too few shards with room are turned away before anything is sent; room by the time at the server

Ruled out: limits below one request a host (fractions of time): the limit stayed at its floor, since replies near the objective cut it. Change: every shard's server is reserved first; if too many have none in time the request is refused as not run with the time at which room is expected. The room of a server falls when it takes over 0.75 of an objective and rises otherwise.

--- a/internal/routing/fleet/dump.go
+++ b/internal/routing/fleet/dump.go
@@ -22,6 +22,7 @@
 	Sequence int64   `json:"entry_sequence"`
 	Tokens   int     `json:"extra_sends_left"`
 	Waiting  int     `json:"requests_waiting"`
+	Limit    float64 `json:"limit"`
 }
 
 // Dump returns the beliefs of all servers, by service and identity.
@@ -52,7 +53,7 @@
 			Open: s.isOpen(), Down: s.isDark(now, g.typical), InFlight: s.inFlight,
 			WorkMs: inMilliseconds(s.service), RoundMs: inMilliseconds(s.roundTrip),
 			Silence: inMilliseconds(s.silence(now)), Failures: s.failures * s.fade(now, failureFade),
-			Sequence: s.entry.Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters),
+			Sequence: s.entry.Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters), Limit: min(s.limit, float64(s.mostRoom())),
 		})
 	}
 	return list
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -124,8 +124,8 @@
 func (g *Group) MaySendAgain() bool { return g.extras.Withdraw() }
 
 // Take returns a server as Pick does unless other requests wait for one. It
-// reports whether waiting for room makes sense.
-func (g *Group) Take(now time.Time, ask Ask) (*Server, bool) {
+// reports whether a request of a rank may find room within patience.
+func (g *Group) Take(now time.Time, ask Ask, rank Rank, patience time.Duration) (*Server, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.waiters) == 0 {
@@ -133,7 +133,7 @@
 			return s, false
 		}
 	}
-	return nil, g.hasServer(ask, now)
+	return nil, g.hasServer(ask, now) && g.expectedWait(rank, now) <= patience
 }
 
 // Pick returns the open server with the least expected cost and room, and counts
@@ -210,6 +210,21 @@
 	return s.roundTrip + time.Duration(secondSendFactor*float64(service)) + secondSendSlack
 }
 
+// GiveBack takes back a Pick or Take whose request was not sent.
+func (g *Group) GiveBack(s *Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.inFlight--
+	g.serveWaiters(time.Now())
+}
+
+// ObserveInTime records whether a reply came while it was worth its full value.
+func (g *Group) ObserveInTime(s *Server, inTime bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.observeInTime(inTime, now)
+}
+
 // Done records the end of a request at a server.
 func (g *Group) Done(s *Server, outcome Outcome, latency time.Duration, now time.Time) {
 	g.mu.Lock()
--- a/internal/routing/fleet/queue.go
+++ b/internal/routing/fleet/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 )
@@ -91,22 +92,28 @@
 	return nil
 }
 
-// expectedWait returns how long a request of a rank would wait. The caller holds
-// mu.
+// expectedWait returns how long the answer to a request of a rank would take: the
+// requests that it lets go first, at the rate at which the servers answer, and its
+// own service. The caller holds mu.
 func (g *Group) expectedWait(rank Rank, now time.Time) time.Duration {
-	slots := 0
+	perSecond, service := 0.0, time.Duration(math.MaxInt64)
 	for _, s := range g.servers {
-		if s.isOpen() && !now.Before(s.pauseUntil) {
-			slots += max(s.entry.Capacity, 1)
+		if s.isOpen() && !s.isDark(now, g.typical) {
+			own := s.roundTrip + s.serviceTime(now, g.typical)
+			perSecond += min(s.limit, float64(s.mostRoom())) / own.Seconds()
+			service = min(service, own)
 		}
 	}
+	if perSecond == 0 {
+		return math.MaxInt64
+	}
 	ahead := 1
 	for _, w := range g.waiters {
 		if w.rank.compare(rank, now) <= 0 {
 			ahead++
 		}
 	}
-	return g.typical * time.Duration(ahead) / time.Duration(max(slots, 1))
+	return service + time.Duration(float64(ahead)/perSecond*float64(time.Second))
 }
 
 // serveWaiters hands free servers to the requests that wait, the first in rank
@@ -138,3 +145,17 @@
 	defer g.mu.Unlock()
 	return len(g.waiters)
 }
+
+// downTime is when a request for a service without a server that is up should come
+// back: servers that are down are tried again after that time at the least.
+const downTime = 300 * time.Millisecond
+
+// RoomIn returns when a request that is turned away now should find room.
+func (g *Group) RoomIn(now time.Time, ask Ask) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.hasServer(ask, now) {
+		return downTime
+	}
+	return min(g.expectedWait(Rank{Priority: math.MaxInt}, now), downTime)
+}
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -56,6 +56,14 @@
 	// server's queue: hosts of the same region share a server, others only spill.
 	nearQueue = 2
 	farQueue  = 0
+	// limitGrowth, limitRise, limitCut, limitFloor and limitInterval move the limit
+	// of a server: down within some replies when its queue makes them late, up
+	// again within a few replies in time.
+	limitGrowth   = 1.15
+	limitRise     = 0.05
+	limitCut      = 0.7
+	limitFloor    = 1
+	limitInterval = 100 * time.Millisecond
 	// darkAfter is how long a server with work may be silent, beyond its usual
 	// time, before it counts as down. The longest pause of the deployments is
 	// 250 ms.
@@ -85,6 +93,9 @@
 	failures   float64
 	pauseUntil time.Time
 	pause      time.Duration
+	// limit is how many requests at once the server has lately answered in time.
+	limit     float64
+	limitedAt time.Time
 	// crowdedRoom bounds the requests at a server until crowdedUntil.
 	crowdedRoom  int
 	crowdedUntil time.Time
@@ -93,7 +104,7 @@
 // newServer returns what the host self knows of a new server.
 func newServer(e membership.Entry, d Distance, self string) *Server {
 	weight := float64(rendezvous.Weight(e.ID, self)) / math.MaxUint64
-	return &Server{entry: e, distance: d, preference: time.Duration(weight * float64(preferenceCost))}
+	return &Server{entry: e, distance: d, preference: time.Duration(weight * float64(preferenceCost)), limit: math.Inf(1)}
 }
 
 // ID returns the identity of the server.
@@ -134,15 +145,35 @@
 	if s.isDark(now, typical) {
 		return 1
 	}
+	room := s.mostRoom()
 	if now.Before(s.crowdedUntil) {
-		return s.crowdedRoom
+		room = min(room, s.crowdedRoom)
 	}
+	return int(min(s.limit, float64(room)))
+}
+
+// mostRoom is the room at a server that answers in time.
+func (s *Server) mostRoom() int {
 	if s.distance == OtherRegion {
 		return s.entry.Capacity + farQueue
 	}
 	return s.entry.Capacity + nearQueue
 }
 
+// observeInTime raises the limit after a reply in time and cuts it after a late
+// one, at most once in limitInterval, since late replies come in groups.
+func (s *Server) observeInTime(inTime bool, now time.Time) {
+	most := float64(s.mostRoom())
+	s.limit = min(s.limit, most)
+	switch {
+	case inTime:
+		s.limit = min(s.limit*limitGrowth+limitRise, most)
+	case now.Sub(s.limitedAt) >= limitInterval:
+		s.limit = max(s.limit*limitCut, limitFloor)
+		s.limitedAt = now
+	}
+}
+
 // isDark reports whether the server is taken to be down.
 func (s *Server) isDark(now time.Time, typical time.Duration) bool {
 	if now.Before(s.pauseUntil) {
--- a/internal/serving/engine/ask.go
+++ b/internal/serving/engine/ask.go
@@ -37,7 +37,11 @@
 // ask is one request to one service: a first send, and further ones while they
 // are allowed and paid for. The loop of its run is its only user.
 type ask struct {
-	group    *fleet.Group
+	group *fleet.Group
+	// reserved is the server of the first send; without one, mayWait tells whether
+	// room may be found in time.
+	reserved *fleet.Server
+	mayWait  bool
 	tried    []*fleet.Server
 	open     int
 	sends    int
--- a/internal/serving/engine/forward.go
+++ b/internal/serving/engine/forward.go
@@ -12,9 +12,6 @@
 	// refusalPause is the least time after which a refused client should come
 	// back; a few requests have ended by then.
 	refusalPause = 100 * time.Millisecond
-	// downPause is the same when no server is up: servers that are down are tried
-	// again after that time at the least.
-	downPause = 300 * time.Millisecond
 )
 
 // single is the joiner of a forwarded request: the end of its one ask.
@@ -32,13 +29,17 @@
 	return answerNow
 }
 
+func (s *single) canSpare(asks int) bool { return asks == 0 }
+
 // forward sends a request to one server of one service and passes its answer on
 // unchanged.
 func (e *Engine) forward(ctx context.Context, req *Request) *Answer {
 	service := e.splitter.Next(req.Route)
 	var join single
 	run := e.newRun(ctx, req, &join, []string{service})
-	run.wait(ctx)
+	if run.wait(ctx) == turnAway {
+		return refused(fault.Overloaded, run.comeBackAfter(), "no server of %s has room in time", service)
+	}
 	answer := &Answer{Steps: run.steps}
 	r := join.reply
 	if r == nil {
--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -5,9 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/samber/lo"
-
-	"github.com/godwithatch/godwithatch/internal/routing/catalog"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/internal/serving/records"
 	"github.com/godwithatch/godwithatch/modules/fault"
@@ -35,18 +32,20 @@
 	g.lost = append(g.lost, r.Outcome.String()+"/"+a.denied.String())
 }
 
+func (g *gathering) canSpare(asks int) bool { return g.tally.total-asks >= g.tally.need }
+
 func (g *gathering) judge(now time.Time) verdict { return g.tally.judge(now, g.req.Objective) }
 
 // gather asks one server of every shard and joins the parts. The set of shards is
 // that of the route, which belongs to one version of the configuration.
 func (e *Engine) gather(ctx context.Context, req *Request) *Answer {
 	shards := req.Route.Shards
-	if up := e.shardsUp(req.Route); up < req.Route.MinShards() {
-		return refused(fault.NoSnapshot, downPause, "%d of %d shards have a server, %d are needed", up, len(shards), req.Route.MinShards())
-	}
-	g := &gathering{req: req, tally: tally{need: req.Route.MinShards(), open: len(shards)}}
+	g := &gathering{req: req, tally: tally{need: req.Route.MinShards(), total: len(shards), open: len(shards)}}
 	run := e.newRun(ctx, req, g, shards)
 	verdict := run.wait(ctx)
+	if verdict == turnAway {
+		return refused(fault.Overloaded, run.comeBackAfter(), "too few shards have a server with room in time, %d of %d are needed", req.Route.MinShards(), len(shards))
+	}
 	g.noteOut(run)
 	if verdict == answerNow {
 		return g.answer(run.steps)
@@ -54,13 +53,6 @@
 	return g.failure(ctx, run)
 }
 
-// shardsUp returns how many shards have a server that is not taken to be down.
-func (e *Engine) shardsUp(r *catalog.Route) int {
-	return lo.CountBy(r.Shards, func(service string) bool {
-		return e.fleet.Group(service).HasServer(fleet.Ask{Allows: r.AllowsRegion})
-	})
-}
-
 // noteOut notes the parts whose reply is still out, and why no other send followed.
 func (g *gathering) noteOut(run *run) {
 	for i := range run.asks {
--- a/internal/serving/engine/patience.go
+++ b/internal/serving/engine/patience.go
@@ -10,6 +10,9 @@
 	keepWaiting verdict = iota
 	// answerNow means that the parts at hand are the best answer.
 	answerNow
+	// turnAway means that no successful answer was possible before anything was
+	// sent.
+	turnAway
 	// giveUp means that no successful answer can come any more.
 	giveUp
 )
@@ -18,6 +21,8 @@
 type tally struct {
 	// need is the least number of parts of a successful answer.
 	need int
+	// total is the number of parts of a whole answer.
+	total int
 	// have and open are parts that arrived and may still arrive.
 	have, open int
 }
--- a/internal/serving/engine/replay_test.go
+++ b/internal/serving/engine/replay_test.go
@@ -106,6 +106,29 @@
 // hosts.
 const extraBurstOfTest = 3
 
+// One shard is down and one has a single server left, six times as slow: only a
+// part of the requests can be answered in time. The others are turned away before
+// anything is sent, so that those are (jeroa-find, scale-1, seconds 6 to 11).
+func TestScarceShardServesWhatItCan(t *testing.T) {
+	play(t, func(t *testing.T) {
+		w := newWorld()
+		e := New(w.fleet, w)
+		w.load(t, e, 40, time.Second, shardedRoute(1))
+		w.set(behaviour{dark: true}, serverID(4, 0), serverID(4, 1), serverID(4, 2), serverID(5, 1), serverID(5, 2))
+		w.set(behaviour{slow: 6}, serverID(5, 0))
+		w.load(t, e, 100, 3*time.Second, shardedRoute(1))
+		clear(w.arrivals)
+		ends := w.load(t, e, 100, 5*time.Second, shardedRoute(1))["sweep1"]
+		// Three slots and 90 ms leave 33 requests a second.
+		if good := ends.whole + ends.partial; good < 100 {
+			t.Fatalf("%d answered in time, %d late, %d refused or lost of 500; want 60 %% of what the slow server bears", good, ends.late, ends.lost)
+		}
+		if n := w.arrivals[service(0)]; n > 250 {
+			t.Fatalf("a shard that is well got %d of 500 requests, although most could not be answered", n)
+		}
+	})
+}
+
 func TestAnswerWithoutOnePartAtTheObjective(t *testing.T) {
 	play(t, func(t *testing.T) {
 		w := newWorld()
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -13,6 +13,12 @@
 	// connection. Closing it at once would cost a new connection; the protocol
 	// wants servers idle half a second after a client has left.
 	lingerTime = 400 * time.Millisecond
+	// serverShare is the part of an objective that a server may take before its queue
+	// counts as too long; the rest is for waiting here and for the way.
+	serverShare = 0.75
+	// patienceShare is the part of the time left that an expected wait may take,
+	// since half of all waits are longer than expected.
+	patienceShare = 0.85
 	// lateFactor and lateSlack say when the replies that are still out are late,
 	// against the time in which half of them came: a service time seldom doubles
 	// unless its server pauses.
@@ -33,6 +39,8 @@
 type joiner interface {
 	// add takes in the end of one ask.
 	add(a *ask, r *Reply)
+	// canSpare reports whether a success is possible without some of the asks.
+	canSpare(asks int) bool
 	// judge decides whether to wait on.
 	judge(now time.Time) verdict
 }
@@ -89,6 +97,10 @@
 func (r *run) wait(ctx context.Context) verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if !r.reserve() {
+		r.cancel(errNoServer)
+		return turnAway
+	}
 	for i := range r.asks {
 		r.begin(ctx, &r.asks[i])
 	}
@@ -142,7 +154,7 @@
 		}
 		r.waiting--
 		if x.server != nil {
-			x.ask.group.Done(x.server, fleet.Withdrawn, 0, time.Now())
+			x.ask.group.GiveBack(x.server)
 		}
 	}
 }
@@ -162,16 +174,57 @@
 	return next.Sub(now)
 }
 
-// begin sends to the best server of a service, or waits for room while an answer
+// reserve takes a server for every ask. If too many have none, and would find none
+// in time, it gives all back and reports false: nothing has been sent then, and what
+// the others would do for this request is left to those that can be answered.
+func (r *run) reserve() bool {
+	patience := r.patience()
+	hopeless := 0
+	for i := range r.asks {
+		a := &r.asks[i]
+		a.reserved, a.mayWait = a.group.Take(r.start, r.target(a), r.req.rank(), patience)
+		if a.reserved == nil && !a.mayWait {
+			hopeless++
+		}
+	}
+	if r.join.canSpare(hopeless) {
+		return true
+	}
+	for i := range r.asks {
+		if a := &r.asks[i]; a.reserved != nil {
+			a.group.GiveBack(a.reserved)
+		}
+	}
+	return false
+}
+
+// patience is in what time an answer must be expected for a wait to make sense.
+func (r *run) patience() time.Duration {
+	return time.Duration(patienceShare * float64(r.req.Objective.Sub(r.start)))
+}
+
+// comeBackAfter returns when a client that was turned away should come back: when
+// room is expected at the services that had none, and a moment more for each client
+// that was told the same.
+func (r *run) comeBackAfter() time.Duration {
+	after := refusalPause
+	for i := range r.asks {
+		if a := &r.asks[i]; a.reserved == nil && !a.mayWait {
+			after = max(after, a.group.RoomIn(r.start, r.target(a)))
+		}
+	}
+	return after
+}
+
+// begin sends to the server that was reserved, or waits for room while an answer
 // could still be in time.
 func (r *run) begin(ctx context.Context, a *ask) {
 	a.group.Deposit()
-	s, mayWait := a.group.Take(r.start, r.target(a))
 	switch {
-	case s != nil:
-		r.send(a, s)
-	case mayWait:
-		target, patience := r.target(a), r.req.Objective.Sub(r.start)
+	case a.reserved != nil:
+		r.send(a, a.reserved)
+	case a.mayWait:
+		target, patience := r.target(a), r.patience()
 		r.waiting++
 		go func() {
 			r.events <- event{ask: a, server: a.group.Acquire(ctx, target, r.req.rank(), patience)}
@@ -273,7 +326,7 @@
 		return NoRoom
 	}
 	if !isFree && !a.group.MaySendAgain() {
-		a.group.Done(s, fleet.Withdrawn, 0, now)
+		a.group.GiveBack(s)
 		return NoBudget
 	}
 	r.send(a, s)
@@ -295,6 +348,10 @@
 		now := time.Now()
 		outcome := outcomeOf(r.base, reply)
 		a.group.Done(s, outcome, now.Sub(start), now)
+		if outcome == fleet.Answered || outcome == fleet.Silent {
+			most := time.Duration(serverShare * float64(r.req.Objective.Sub(r.req.Arrived)))
+			a.group.ObserveInTime(s, outcome == fleet.Answered && now.Sub(start) <= most, now)
+		}
 		r.engine.counters.Sends[outcome].Add(1)
 		r.events <- event{ask: a, reply: reply, step: step, took: now.Sub(start)}
 	}()
