--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -83,6 +83,9 @@
 	return &Group{service: service, extras: budget.New(extraShare, extraBurst), typical: servicePrior}
 }
 
+// Service returns the name of the service.
+func (g *Group) Service() string { return g.service }
+
 // adopt takes in a newer entry of a server.
 func (g *Group) adopt(s *Server, e membership.Entry) {
 	g.mu.Lock()
--- a/internal/serving/engine/forward.go
+++ b/internal/serving/engine/forward.go
@@ -38,7 +38,7 @@
 	var join single
 	run := e.newRun(ctx, req, &join, []string{service})
 	if run.wait(ctx) == turnAway {
-		return refused(fault.Overloaded, run.comeBackAfter(), "no server of %s has room in time", service)
+		return run.turnedAway(1)
 	}
 	answer := &Answer{Steps: run.steps}
 	r := join.reply
--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -44,7 +44,7 @@
 	run := e.newRun(ctx, req, g, shards)
 	verdict := run.wait(ctx)
 	if verdict == turnAway {
-		return refused(fault.Overloaded, run.comeBackAfter(), "too few shards have a server with room in time, %d of %d are needed", req.Route.MinShards(), len(shards))
+		return run.turnedAway(req.Route.MinShards())
 	}
 	g.noteOut(run)
 	if verdict == answerNow {
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
+	"github.com/godwithatch/godwithatch/modules/fault"
 )
 
 const (
@@ -203,17 +205,18 @@
 	return time.Duration(patienceShare * float64(r.req.Objective.Sub(r.start)))
 }
 
-// comeBackAfter returns when a client that was turned away should come back: when
-// room is expected at the services that had none, and a moment more for each client
-// that was told the same.
-func (r *run) comeBackAfter() time.Duration {
+// turnedAway is the refusal of a request for which reserve found too few servers:
+// the services without room in time, and when room is expected there.
+func (r *run) turnedAway(need int) *Answer {
 	after := refusalPause
+	var scarce []string
 	for i := range r.asks {
 		if a := &r.asks[i]; a.reserved == nil && !a.mayWait {
 			after = max(after, a.group.RoomIn(r.start, r.target(a)))
+			scarce = append(scarce, a.group.Service())
 		}
 	}
-	return after
+	return refused(fault.Overloaded, after, "no room in time at %s; %d of %d services are needed", strings.Join(scarce, " "), need, len(r.asks))
 }
 
 // begin sends to the server that was reserved, or waits for room while an answer
