Clients that come back are known by what is left of their patience; returns are spread

Cause: a client that was refused came back as a new one: its objective counted from the attempt, and nothing put it before others. Ruled out: the time-out of the route as the patience at the start (operators change it). Retry-After is spread over as long again as the room takes.

--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -200,9 +201,14 @@
 	return false
 }
 
-// patience is in what time an answer must be expected for a wait to make sense.
+// patience is in what time an answer must be expected for a wait to make sense: the
+// objective, or the deadline of a request that has missed its objective already.
 func (r *run) patience() time.Duration {
-	return time.Duration(patienceShare * float64(r.req.Objective.Sub(r.start)))
+	end := r.req.Objective
+	if !r.start.Before(end) {
+		end = r.req.Deadline
+	}
+	return time.Duration(patienceShare * float64(end.Sub(r.start)))
 }
 
 // turnedAway is the refusal of a request for which reserve found too few servers:
@@ -216,6 +222,8 @@
 			scarce = append(scarce, a.group.Service())
 		}
 	}
+	// Clients that are told the same time come back over as long again.
+	after += time.Duration(rand.Float64() * float64(after))
 	return refused(fault.Overloaded, after, "no room in time at %s; %d of %d services are needed", strings.Join(scarce, " "), need, len(r.asks))
 }
 
@@ -281,7 +289,7 @@
 // retryLater looks again a little later if a send that was denied may be possible
 // then, and otherwise ends the ask.
 func (r *run) retryLater(a *ask, now time.Time) {
-	if a.mayRecover() && now.Before(r.req.Objective) {
+	if a.mayRecover() && now.Before(r.start.Add(r.patience())) {
 		a.nextAt = now.Add(denialPause)
 		return
 	}
@@ -352,7 +360,7 @@
 		outcome := outcomeOf(r.base, reply)
 		a.group.Done(s, outcome, now.Sub(start), now)
 		if outcome == fleet.Answered || outcome == fleet.Silent {
-			most := time.Duration(serverShare * float64(r.req.Objective.Sub(r.req.Arrived)))
+			most := time.Duration(serverShare * float64(r.req.Route.Objective))
 			a.group.ObserveInTime(s, outcome == fleet.Answered && now.Sub(start) <= most, now)
 		}
 		r.engine.counters.Sends[outcome].Add(1)
--- /dev/null
+++ b/internal/serving/returns/returns_test.go
@@ -0,0 +1,28 @@
+package returns
+
+import (
+	"testing"
+	"time"
+)
+
+func TestClientsThatComeBackAreKnown(t *testing.T) {
+	var r Tracker
+	now := time.Unix(0, 0)
+	check := func(route string, left, want time.Duration) {
+		t.Helper()
+		if got := r.Waited(route, left, now); got != want {
+			t.Fatalf("%s with %s left: waited %s, want %s", route, left, got, want)
+		}
+	}
+	check("sweep", 1200*time.Millisecond, 0)
+	check("sweep", 1195*time.Millisecond, 0)
+	check("sweep", 900*time.Millisecond, 300*time.Millisecond)
+	check("peek", 800*time.Millisecond, 0)
+	now = now.Add(15 * time.Second)
+	check("sweep", 1200*time.Millisecond, 0)
+	// The clients' patience changes; the old one is forgotten after two spans.
+	now = now.Add(25 * time.Second)
+	check("sweep", 600*time.Millisecond, 600*time.Millisecond)
+	now = now.Add(11 * time.Second)
+	check("sweep", 600*time.Millisecond, 0)
+}
