A part that may have run and waits for a second send is not denied

Cause, found by reading: a sharded request that is given up while a part waits for room after a broken reply counted as not run. TestPartThatMayHaveRunIsNotDenied failed for broken and failed replies.

--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -87,13 +87,14 @@
 	case !time.Now().Before(g.req.Deadline):
 		kind = fault.DeadlineExceeded
 	}
-	isOpen := false
+	mayHaveRun := g.hasRun || g.tally.have > 0
 	for i := range run.asks {
-		isOpen = isOpen || run.asks[i].open > 0
+		a := &run.asks[i]
+		mayHaveRun = mayHaveRun || a.open > 0 || a.last != nil && a.last.mayHaveRun()
 	}
 	outcome := fault.Unknown
 	var retryAfter time.Duration
-	if !g.hasRun && g.tally.have == 0 && !isOpen {
+	if !mayHaveRun {
 		outcome, retryAfter = fault.NotRun, refusalPause
 	}
 	return &Answer{
