--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -38,7 +38,7 @@
 		{"server fails", func() { s.ail(u, shardserver.Fault(1+s.rng.IntN(5)), length) }},
 		{"link of a server fails", func() { s.harm(u, link.Fault(1+s.rng.IntN(4)), length) }},
 		{"connections of a server reset", func() { u.link.Reset() }},
-		{"store fails", func() { s.ailStore(metadata.Fault(1+s.rng.IntN(3)), length) }},
+		{"store fails", func() { s.ailStore(metadata.Fault(1+s.rng.IntN(4)), length) }},
 		{"history dropped", func() { s.store.DropHistory() }},
 		{"connections to the store go silent", func() { s.disturb(6 * time.Second); s.storeLink.Set(link.Silent) }},
 		{"configuration changes", s.configure},
--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -36,6 +36,8 @@
 	Down
 	// Deaf takes watches and never answers them.
 	Deaf
+	// Cutting serves lists and cuts every watch at once.
+	Cutting
 	// Slow answers after half a second.
 	Slow
 )
@@ -197,7 +199,7 @@
 	for {
 		events, revision, gone, fault, changed := s.since(kind, from)
 		switch {
-		case fault == Down:
+		case fault == Down || fault == Cutting:
 			panic(http.ErrAbortHandler)
 		case fault == Deaf:
 			<-r.Context().Done()
