--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -198,13 +198,6 @@
 	})
 }
 
-// IsOpen reports whether the server may still get the request that Pick gave it.
-func (g *Group) IsOpen(s *Server) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return s.isOpen()
-}
-
 // SecondSendAfter returns how long to wait for a reply of s before a second send.
 func (g *Group) SecondSendAfter(s *Server, now time.Time) time.Duration {
 	g.mu.Lock()
--- a/internal/serving/engine/world_test.go
+++ b/internal/serving/engine/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/godwithatch/godwithatch/internal/routing/catalog"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/internal/routing/membership"
+	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
 const (
@@ -100,7 +101,7 @@
 	isShed := b.refuses || w.rng.Float64() < b.shed
 	work := time.Duration(float64(testWork) * (0.6 + 0.8*w.rng.Float64()) * max(b.slow, 1))
 	w.mu.Unlock()
-	if s.Distance() != fleet.SameZone && !sleep(ctx, farWay) {
+	if s.Distance() != fleet.SameZone && !pause.For(ctx, farWay) {
 		return silent(ctx)
 	}
 	switch {
@@ -132,7 +133,7 @@
 	if b.paused != nil {
 		work += b.paused(time.Now())
 	}
-	if !sleep(ctx, work) {
+	if !pause.For(ctx, work) {
 		return silent(ctx)
 	}
 	if b.breaks {
@@ -203,15 +204,3 @@
 	running.Wait()
 	return ends
 }
-
-// sleep reports false if ctx ended before d passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/store/gate/gate.go
+++ b/internal/store/gate/gate.go
@@ -14,6 +14,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
 const (
@@ -54,8 +56,8 @@
 	defer func() { <-g.trier }()
 	if g.isShut.Load() {
 		g.pause = min(max(2*g.pause, firstPause), lastPause)
-		if err := sleep(ctx, g.pause); err != nil {
-			return true, err
+		if !pause.For(ctx, g.pause) {
+			return true, ctx.Err()
 		}
 	}
 	err := call()
@@ -65,14 +67,3 @@
 	}
 	return true, err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
