--- a/internal/store/gate/gate.go
+++ b/internal/store/gate/gate.go
@@ -3,11 +3,12 @@
 //
 // # Usage
 //
-//	g := gate.New()
+//	g := gate.New(func(ctx context.Context) error { return readStale(ctx) })
 //	waited, err := g.Do(ctx, func() error { return list() })
 //
 // It answers this pattern: the store is away for seconds, several followers of one
-// host each repeat their calls, and refused calls are priced like served ones.
+// host each repeat their calls, and refused calls are priced like served ones. So one
+// of them tries, with a cheap call first.
 package gate
 
 import (
@@ -22,12 +23,14 @@
 	// firstPause and lastPause bound the time before a try. A configuration is due
 	// within seconds of the store's return.
 	firstPause = 250 * time.Millisecond
-	lastPause  = 1500 * time.Millisecond
+	lastPause  = time.Second
 )
 
 // Gate is open while calls succeed. It is safe for concurrent use.
 type Gate struct {
 	isShut atomic.Bool
+	// probe is a cheap call that fails while the store is away.
+	probe func(ctx context.Context) error
 	// trier has room for the one caller that tries while the gate is shut. It
 	// guards pause.
 	trier chan struct{}
@@ -35,12 +38,17 @@
 }
 
 // New returns an open Gate.
-func New() *Gate { return &Gate{trier: make(chan struct{}, 1)} }
+func New(probe func(ctx context.Context) error) *Gate {
+	return &Gate{probe: probe, trier: make(chan struct{}, 1)}
+}
 
 // Shut records that a call failed outside of Do.
 func (g *Gate) Shut() { g.isShut.Store(true) }
 
-// Do calls, after a pause and alone if the gate is shut. It reports whether the
+// IsShut reports whether the last call failed.
+func (g *Gate) IsShut() bool { return g.isShut.Load() }
+
+// Do calls; if the gate is shut after a pause, alone, and behind a probe. It reports whether the
 // gate was shut, and returns the error of the call or of ctx.
 func (g *Gate) Do(ctx context.Context, call func() error) (bool, error) {
 	if !g.isShut.Load() {
@@ -59,6 +67,9 @@
 		if !pause.For(ctx, g.pause) {
 			return true, ctx.Err()
 		}
+		if err := g.probe(ctx); err != nil {
+			return true, err
+		}
 	}
 	err := call()
 	g.isShut.Store(err != nil)
--- a/internal/store/gate/gate_test.go
+++ b/internal/store/gate/gate_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"testing"
@@ -13,19 +14,20 @@
 // The store is away for 6.4 s; three followers want to list.
 func TestOneCallerTries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New()
 		start := time.Now()
-		calls := 0
+		calls, probes := 0, 0
 		var mu sync.Mutex
-		list := func() error {
+		count := func(n *int) error {
 			mu.Lock()
 			defer mu.Unlock()
-			calls++
+			*n++
 			if time.Since(start) < 6400*time.Millisecond {
 				return errAway
 			}
 			return nil
 		}
+		list := func() error { return count(&calls) }
+		g := New(func(context.Context) error { return count(&probes) })
 		var followers sync.WaitGroup
 		for range 3 {
 			followers.Go(func() {
@@ -37,8 +39,9 @@
 			})
 		}
 		followers.Wait()
-		if calls > 11 {
-			t.Fatalf("%d calls by three followers, want about those of one", calls)
+		// Each follower may find out once, and lists once at the end.
+		if calls > 2*3 || probes > 11 {
+			t.Fatalf("%d calls and %d probes by three followers, want about those of one", calls, probes)
 		}
 		if took := time.Since(start); took > 6400*time.Millisecond+lastPause {
 			t.Fatalf("all listed after %s", took)
--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -69,6 +70,9 @@
 	changed chan struct{}
 	fault   Fault
 	calls   int
+	stale   int
+	// refused are the addresses of hosts that the store turns away.
+	refused map[string]bool
 }
 
 // New returns an empty Store.
@@ -127,6 +131,32 @@
 	s.wake()
 }
 
+// Refuse turns away the callers with an IP address, or serves them again.
+func (s *Store) Refuse(ip string, isRefused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == nil {
+		s.refused = map[string]bool{}
+	}
+	s.refused[ip] = isRefused
+	s.wake()
+}
+
+// isRefused reports whether the store turns a caller away.
+func (s *Store) isRefused(r *http.Request) bool {
+	ip, _, err := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return err == nil && s.refused[ip]
+}
+
+// Objects returns how many objects of a kind there are.
+func (s *Store) Objects(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects[kind])
+}
+
 // DropHistory forgets the changes so far.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -142,19 +172,34 @@
 	return s.calls
 }
 
+// staleCost is the price of a call that may be answered with what was true before.
+const staleCost = 0.1
+
+// Cost returns the price of the calls so far in calls.
+func (s *Store) Cost() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(s.calls-s.stale) + staleCost*float64(s.stale)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, ok := strings.CutPrefix(r.URL.Path, prefix)
 	s.mu.Lock()
 	s.calls++
+	if r.URL.Query().Has("allow_stale") {
+		s.stale++
+	}
 	fault := s.fault
 	s.mu.Unlock()
 	query := r.URL.Query()
 	switch {
-	case fault == Down:
+	case fault == Down || s.isRefused(r):
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case !ok || r.Method != http.MethodGet:
+	case !ok:
 		w.WriteHeader(http.StatusNotFound)
+	case r.Method != http.MethodGet:
+		s.write(w, r, kind)
 	case query.Has("watch"):
 		s.watch(w, r, kind)
 	default:
@@ -165,6 +210,39 @@
 	}
 }
 
+// write serves the calls that change an object.
+func (s *Store) write(w http.ResponseWriter, r *http.Request, path string) {
+	kind, name, _ := strings.Cut(path, "/")
+	var body object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	if r.Method == http.MethodPost {
+		name = body.Meta.Name
+	}
+	s.mu.Lock()
+	old, exists := s.objects[kind][name]
+	s.mu.Unlock()
+	asked := r.URL.Query().Get("revision")
+	switch {
+	case r.Method == http.MethodPost && exists,
+		asked != "" && asked != strconv.FormatInt(old.Meta.Revision, 10):
+		w.WriteHeader(http.StatusConflict)
+		return
+	case r.Method != http.MethodPost && !exists:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case r.Method == http.MethodDelete:
+		s.Delete(kind, name)
+	case !exists || string(old.Spec) != string(body.Spec):
+		s.Put(kind, name, body.Spec)
+	}
+	reply(w, body)
+}
+
 func (s *Store) list(w http.ResponseWriter, kind, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,7 +277,7 @@
 	for {
 		events, revision, gone, fault, changed := s.since(kind, from)
 		switch {
-		case fault == Down || fault == Cutting:
+		case fault == Down || fault == Cutting || s.isRefused(r):
 			panic(http.ErrAbortHandler)
 		case fault == Deaf:
 			<-r.Context().Done()
