--- a/internal/store/gate/gate.go
+++ b/internal/store/gate/gate.go
@@ -1,80 +1,108 @@
-// Package gate lets one caller at a time try a store that does not answer, while
-// the others wait for its success.
+// Package gate holds back the calls to a store that does not answer until one cheap
+// call succeeds.
 //
 // # Usage
 //
-//	g := gate.New(func(ctx context.Context) error { return readStale(ctx) })
-//	waited, err := g.Do(ctx, func() error { return list() })
+//	g := gate.New()
+//	go func() {
+//		for g.Next(ctx, interval) {
+//			g.Observe(readStale(ctx))
+//		}
+//	}()
+//	waited, err := g.Wait(ctx)
+//	g.Observe(list())
 //
 // It answers this pattern: the store is away for seconds, several followers of one
-// host each repeat their calls, and refused calls are priced like served ones. So one
-// of them tries, with a cheap call first.
+// host each repeat their calls, and refused calls are priced like served ones.
 package gate
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
 const (
-	// firstPause and lastPause bound the time before a try. A configuration is due
-	// within seconds of the store's return.
-	firstPause = 250 * time.Millisecond
-	lastPause  = time.Second
+	// firstPause and lastPause bound the time between two tries. A host that has no
+	// configuration yet can serve nobody until the store is back, and a try costs a
+	// tenth of a call.
+	firstPause = 200 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
 )
 
 // Gate is open while calls succeed. It is safe for concurrent use.
 type Gate struct {
-	isShut atomic.Bool
-	// probe is a cheap call that fails while the store is away.
-	probe func(ctx context.Context) error
-	// trier has room for the one caller that tries while the gate is shut. It
-	// guards pause.
-	trier chan struct{}
+	mu sync.Mutex
+	// isShut tells whether the last call failed; turned is closed when that changes.
+	isShut bool
+	turned chan struct{}
+	// pause is the time before the next try.
 	pause time.Duration
 }
 
 // New returns an open Gate.
-func New(probe func(ctx context.Context) error) *Gate {
-	return &Gate{probe: probe, trier: make(chan struct{}, 1)}
-}
-
-// Shut records that a call failed outside of Do.
-func (g *Gate) Shut() { g.isShut.Store(true) }
+func New() *Gate { return &Gate{turned: make(chan struct{})} }
 
 // IsShut reports whether the last call failed.
-func (g *Gate) IsShut() bool { return g.isShut.Load() }
+func (g *Gate) IsShut() bool {
+	isShut, _ := g.state()
+	return isShut
+}
 
-// Do calls; if the gate is shut after a pause, alone, and behind a probe. It reports whether the
-// gate was shut, and returns the error of the call or of ctx.
-func (g *Gate) Do(ctx context.Context, call func() error) (bool, error) {
-	if !g.isShut.Load() {
-		err := call()
-		g.isShut.Store(err != nil)
-		return false, err
-	}
-	select {
-	case g.trier <- struct{}{}:
-	case <-ctx.Done():
-		return true, ctx.Err()
+func (g *Gate) state() (bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isShut, g.turned
+}
+
+// Observe records how a call ended.
+func (g *Gate) Observe(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	isShut := err != nil
+	if isShut != g.isShut {
+		g.isShut, g.pause = isShut, 0
+		close(g.turned)
+		g.turned = make(chan struct{})
 	}
-	defer func() { <-g.trier }()
-	if g.isShut.Load() {
-		g.pause = min(max(2*g.pause, firstPause), lastPause)
-		if !pause.For(ctx, g.pause) {
-			return true, ctx.Err()
+}
+
+// Wait returns once the gate is open, and reports whether it was shut. It returns the
+// error of ctx if that ends before.
+func (g *Gate) Wait(ctx context.Context) (bool, error) {
+	for waited := false; ; waited = true {
+		isShut, turned := g.state()
+		if !isShut {
+			return waited, ctx.Err()
 		}
-		if err := g.probe(ctx); err != nil {
-			return true, err
+		select {
+		case <-turned:
+		case <-ctx.Done():
+			return true, ctx.Err()
 		}
 	}
-	err := call()
-	g.isShut.Store(err != nil)
-	if err == nil {
-		g.pause = 0
+}
+
+// Next waits for the time of the next cheap call: an interval while the gate is open,
+// and pauses that grow while it is shut. It reports false at the end of ctx.
+func (g *Gate) Next(ctx context.Context, interval time.Duration) bool {
+	isShut, turned := g.state()
+	if !isShut {
+		timer := time.NewTimer(interval)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return true
+		case <-turned:
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return true, err
+	g.mu.Lock()
+	g.pause = min(max(2*g.pause, firstPause), lastPause)
+	wait := g.pause
+	g.mu.Unlock()
+	return pause.For(ctx, wait)
 }
