--- /dev/null
+++ b/internal/routing/fleet/placing_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// shardRate is how many requests a second one host of a large fleet sends to one
+	// shard: what it knows of a server comes from few replies.
+	shardRate   = 1.3
+	serviceTime = 8 * time.Millisecond
+	farWay      = 16 * time.Millisecond
+)
+
+// placed sends requests to a group whose near server fails with a probability, and
+// returns the share of the first sends that went to it.
+func placed(t *testing.T, failing float64, requests int) float64 {
+	near := 0
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		f, g := newTestGroup(2)
+		f.Connected("near:80", time.Millisecond)
+		f.Connected("far0:80", farWay)
+		for range requests {
+			time.Sleep(time.Duration(random.ExpFloat64() / shardRate * float64(time.Second)))
+			s := g.Pick(time.Now(), Ask{})
+			outcome, took := Answered, serviceTime+s.roundTrip
+			if s.ID() == "near" {
+				near++
+				if random.Float64() < failing {
+					outcome = Broken
+				}
+			}
+			time.Sleep(took)
+			g.Done(s, outcome, took, time.Now())
+		}
+	})
+	return float64(near) / float64(requests)
+}
+
+// Servers lose or spoil one answer in fifty for some seconds. A second send mends
+// each; keeping away from the near server costs bytes between regions and the way.
+func TestStrayFailureKeepsTheNearServer(t *testing.T) {
+	if share := placed(t, 0.02, 2000); share < 0.95 {
+		t.Errorf("%.3f of the requests went to a near server that fails one in fifty", share)
+	}
+}
+
+// A server that fails two of five requests while it looks healthy is left.
+func TestFailingServerIsLeft(t *testing.T) {
+	if share := placed(t, 0.4, 2000); share > 0.25 {
+		t.Errorf("%.3f of the requests went to a near server that fails two of five", share)
+	}
+	if share := placed(t, 1, 2000); share > 0.15 {
+		t.Errorf("%.3f of the requests went to a near server that fails all", share)
+	}
+}
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -14,6 +14,11 @@
 	// failureWeight is the weight of one failure: a second server is soon found,
 	// and each further failure costs an extra send.
 	failureWeight = 0.35
+	// strayWeight is the weight of a failure after strayAnswers answers in a row. Some
+	// servers lose or spoil one answer in fifty; keeping away from them for seconds
+	// after each costs more than a second send.
+	strayWeight  = 0.06
+	strayAnswers = 5
 	// fadeTime is the time without use in which what is known of a server loses
 	// half of its weight.
 	fadeTime = time.Second
@@ -91,6 +96,8 @@
 	usedAt     time.Time
 	service    time.Duration
 	failures   float64
+	// answers are those in a row since the last failure.
+	answers    int
 	pauseUntil time.Time
 	pause      time.Duration
 	// limit is how many requests at once the server has lately answered in time.
@@ -260,11 +267,20 @@
 	s.service += time.Duration(averageWeight * float64(d-s.service))
 }
 
+// observeFailure takes in how much of a failure the end of a request was.
 func (s *Server) observeFailure(failed float64) {
 	weight := averageWeight
-	if failed > s.failures {
+	switch {
+	case failed > s.failures && s.answers >= strayAnswers:
+		weight = strayWeight
+	case failed > s.failures:
 		weight = failureWeight
 	}
+	if failed > 0 {
+		s.answers = 0
+	} else {
+		s.answers++
+	}
 	s.failures += weight * (failed - s.failures)
 }
 
