--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
 const (
@@ -107,7 +108,7 @@
 	for i := range r.asks {
 		r.begin(ctx, &r.asks[i])
 	}
-	timer := time.NewTimer(time.Until(r.req.Deadline))
+	timer := pause.NewAlarm(time.Until(r.req.Deadline))
 	defer timer.Stop()
 	for {
 		now := time.Now()
@@ -121,7 +122,7 @@
 		select {
 		case x := <-r.events:
 			r.handle(x)
-		case <-timer.C:
+		case <-timer.C():
 			r.lookAgain(time.Now())
 		case <-ctx.Done():
 			return r.end(giveUp, errClientGone)
--- a/internal/store/gate/gate.go
+++ b/internal/store/gate/gate.go
@@ -90,10 +90,10 @@
 func (g *Gate) Next(ctx context.Context, interval time.Duration) bool {
 	isShut, turned := g.state()
 	if !isShut {
-		timer := time.NewTimer(interval)
+		timer := pause.NewAlarm(interval)
 		defer timer.Stop()
 		select {
-		case <-timer.C:
+		case <-timer.C():
 			return true
 		case <-turned:
 		case <-ctx.Done():
--- a/modules/pause/pause.go
+++ b/modules/pause/pause.go
@@ -18,10 +18,10 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(d)
+	timer := NewAlarm(d)
 	defer timer.Stop()
 	select {
-	case <-timer.C:
+	case <-timer.C():
 		return true
 	case <-ctx.Done():
 		return false
--- a/services/daemon/controllers.go
+++ b/services/daemon/controllers.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/godwithatch/godwithatch/modules/pause"
 	"github.com/godwithatch/godwithatch/modules/rendezvous"
 	"github.com/godwithatch/godwithatch/services/balance"
 	"github.com/godwithatch/godwithatch/services/configuration"
@@ -66,12 +67,13 @@
 
 // every calls fn at an interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, fn func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	alarm := pause.NewAlarm(interval)
+	defer alarm.Stop()
 	for {
 		fn()
 		select {
-		case <-ticker.C:
+		case <-alarm.C():
+			alarm.Reset(interval)
 		case <-ctx.Done():
 			return
 		}
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -29,6 +29,7 @@
 
 	"github.com/godwithatch/godwithatch/modules/blackboard"
 	"github.com/godwithatch/godwithatch/modules/broadcast"
+	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
 // State is what the hosts believe of a host.
@@ -303,12 +304,13 @@
 
 // Run probes until ctx ends.
 func (m *Membership) Run(ctx context.Context) {
-	ticker := time.NewTicker(m.opts.Heartbeat)
-	defer ticker.Stop()
+	alarm := pause.NewAlarm(m.opts.Heartbeat)
+	defer alarm.Stop()
 	for {
 		m.Tick(ctx)
 		select {
-		case <-ticker.C:
+		case <-alarm.C():
+			alarm.Reset(m.opts.Heartbeat)
 		case <-ctx.Done():
 			return
 		}
--- a/services/query/quarantine.go
+++ b/services/query/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/godwithatch/godwithatch/modules/fault"
+	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
 const (
@@ -198,12 +199,12 @@
 			return nil
 		}
 	}
-	timer := time.NewTimer(patience)
+	timer := pause.NewAlarm(patience)
 	defer timer.Stop()
 	select {
 	case <-c.success:
 		return nil
-	case <-timer.C:
+	case <-timer.C():
 	case <-ctx.Done():
 	}
 	return fault.New(fault.RequestQuarantined, fault.Unknown, "the request was in flight when %d servers crashed", c.crashes.Load())
@@ -212,13 +213,13 @@
 // isSecondWithin reports whether a second server crashes under the query within
 // a time and before any answers.
 func (c *crashWatch) isSecondWithin(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+	timer := pause.NewAlarm(d)
 	defer timer.Stop()
 	select {
 	case <-c.second:
 		return true
 	case <-c.success:
-	case <-timer.C:
+	case <-timer.C():
 	case <-ctx.Done():
 	}
 	return false
--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -55,7 +55,7 @@
 	if err := s.launch(ctx); err != nil {
 		return nil, err
 	}
-	hedge := time.NewTimer(load.HedgeDelay())
+	hedge := pause.NewAlarm(load.HedgeDelay())
 	defer hedge.Stop()
 	for {
 		select {
@@ -68,7 +68,7 @@
 			if err := s.failed(ctx, r); err != nil {
 				return nil, err
 			}
-		case <-hedge.C:
+		case <-hedge.C():
 			s.hedge(ctx)
 		case <-ctx.Done():
 			return nil, s.expired(ctx)
@@ -105,7 +105,7 @@
 	}
 	waiter := queue.Enter(s.fan.route.Priority())
 	defer waiter.Leave()
-	timer := time.NewTimer(queueCheck)
+	timer := pause.NewAlarm(queueCheck)
 	defer timer.Stop()
 	for {
 		if choice, ok := s.chooseFirst(waiter); ok {
@@ -113,7 +113,7 @@
 		}
 		select {
 		case <-waiter.Woken():
-		case <-timer.C:
+		case <-timer.C():
 			timer.Reset(queueCheck)
 		case <-ctx.Done():
 			return balance.Choice{}, s.expired(ctx)
