A server with an open connection is preferred to an equal one without

Servers close connections that are idle for ten seconds, and each host meets each far server every ten seconds or so. Change: opening a connection counts as the way there and back and 6 ms more.

--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// HasIdle reports whether a connection to an address waits for a call.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // Open returns the number of open connections.
 func (p *Pool) Open() int {
 	p.mu.Lock()
--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -62,6 +62,9 @@
 // Fleet is what this host knows of all servers. It is safe for concurrent use.
 type Fleet struct {
 	place Place
+	// isConnected reports whether an idle connection to an address is open; nil means
+	// that connections cost nothing.
+	isConnected func(address string) bool
 
 	mu        sync.RWMutex
 	groups    map[string]*Group
@@ -83,6 +86,10 @@
 	}
 }
 
+// CountConnections makes servers without an idle connection cost what it takes to
+// open one. It is called before any Update.
+func (f *Fleet) CountConnections(isConnected func(address string) bool) { f.isConnected = isConnected }
+
 // Group returns the servers of a service. It is never nil; an unknown service
 // has no servers.
 func (f *Fleet) Group(service string) *Group {
@@ -119,6 +126,7 @@
 		s := f.servers[e.ID]
 		if s == nil || s.entry.Born != e.Born || s.entry.Address != e.Address || s.entry.Service != e.Service {
 			s = newServer(e, f.distance(e), f.place.Host)
+			s.isConnected = f.isConnected
 			s.roundTrip = f.roundTrip(e.Zone, s.distance)
 		}
 		servers[e.ID] = s
--- a/internal/routing/fleet/placing_test.go
+++ b/internal/routing/fleet/placing_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/godwithatch/godwithatch/internal/routing/membership"
 )
 
 const (
@@ -58,3 +60,24 @@
 		t.Errorf("%.3f of the requests went to a near server that fails all", share)
 	}
 }
+
+// A shard's near server pauses, and a second send has 40 ms left. Of two equal servers
+// in other regions only one is connected; opening a connection to the other takes the
+// way there and back once more, and 6 ms of a slot.
+func TestSecondSendGoesWhereAConnectionIsOpen(t *testing.T) {
+	const left = 40 * time.Millisecond
+	for _, connected := range []string{"far0:80", "far1:80"} {
+		f := New(Place{Host: "h", Zone: "z0", Region: "r0"})
+		f.CountConnections(func(address string) bool { return address == connected })
+		f.Update([]membership.Entry{entry("far0", "z1", "r1"), entry("far1", "z2", "r2")})
+		f.Connected("far0:80", farWay)
+		f.Connected("far1:80", farWay)
+		took := farWay + serviceTime
+		if s := f.Group("s").Pick(time.Now(), Ask{}); s.Address() != connected {
+			took += s.roundTrip + openCost
+		}
+		if took > left {
+			t.Errorf("connected to %s: the reply takes %s", connected, took)
+		}
+	}
+}
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -53,6 +53,9 @@
 	misdirectedPause = 5 * time.Second
 	// servicePrior is the service time of a group before any answer.
 	servicePrior = 20 * time.Millisecond
+	// openCost is what opening a connection takes beside the way there and back: the
+	// servers of the deployments hold a slot for up to that time.
+	openCost = 6 * time.Millisecond
 	// coldFactor is how much slower a cold server is taken to be.
 	coldFactor = 1.6
 	// serviceFloor is the least service time.
@@ -88,6 +91,8 @@
 	preference time.Duration
 	evacuated  bool
 	removed    bool
+	// isConnected is that of the Fleet.
+	isConnected func(address string) bool
 
 	inFlight int
 	// progressAt is when the server last answered, or when it got work after a
@@ -248,6 +253,9 @@
 	if now.Before(s.pauseUntil) {
 		cost += pauseCost
 	}
+	if s.isConnected != nil && !s.isConnected(s.entry.Address) {
+		cost += s.roundTrip + openCost
+	}
 	switch s.distance {
 	case SameRegion:
 		cost += regionCost
