Less processor time for each part: one head for all servers, exact bodies, one stack

Ruled out: system calls (four more a part add 2 us each; a trial). Change: the head of a request is made once for all servers; the buffer of what is written stays with the connection; bodies of known length take one allocation; the stack of a send grows once.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -34,6 +34,8 @@
 	idleLimit time.Duration
 	// isUsed means that an answer came over the connection.
 	isUsed bool
+	// out is the buffer of what is written.
+	out []byte
 }
 
 func newConn(address string, nc net.Conn) *conn {
@@ -119,45 +121,35 @@
 // write sends the call. The channel receives the result of the last byte.
 func (c *conn) write(call *Call) (<-chan error, error) {
 	written := make(chan error, 1)
-	head := call.head()
+	c.out = call.append(c.out[:0])
 	if len(call.Body) <= inlineBody {
-		_, err := c.nc.Write(append(head, call.Body...))
+		c.out = append(c.out, call.Body...)
+		_, err := c.nc.Write(c.out)
 		written <- err
 		return written, err
 	}
 	go func() {
-		buffers := net.Buffers{head, call.Body}
+		buffers := net.Buffers{c.out, call.Body}
 		_, err := buffers.WriteTo(c.nc)
 		written <- err
 	}()
 	return written, nil
 }
 
-// head returns the request line and the header.
-func (call *Call) head() []byte {
-	var b strings.Builder
-	b.Grow(512 + len(call.Body))
-	b.WriteString(call.Method)
-	b.WriteByte(' ')
-	b.WriteString(call.Target)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(call.Host)
-	b.WriteString("\r\n")
-	for name, values := range call.Header {
-		for _, v := range values {
-			b.WriteString(name)
-			b.WriteString(": ")
-			b.WriteString(v)
-			b.WriteString("\r\n")
-		}
+// append appends all that goes before the body.
+func (call *Call) append(b []byte) []byte {
+	if call.Head != nil {
+		b = append(b, call.Head...)
+	} else {
+		b = call.AppendHead(b)
+	}
+	for _, f := range call.Fields {
+		b = appendField(b, f.Name, f.Value)
 	}
 	if call.HasBody || len(call.Body) > 0 {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(call.Body)))
-		b.WriteString("\r\n")
+		b = appendField(b, "Content-Length", strconv.Itoa(len(call.Body)))
 	}
-	b.WriteString("\r\n")
-	return []byte(b.String())
+	return append(b, "\r\n"...)
 }
 
 // read returns the answer to the call, past answers to other requests.
@@ -183,23 +175,48 @@
 		return nil, false, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := readBody(resp, limit)
 	if err != nil {
 		return nil, false, err
 	}
-	if int64(len(body)) > limit {
-		return nil, false, corrupt("the answer is larger than the limit")
-	}
 	isFramed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	reusable := isFramed && !resp.Close && c.r.Buffered() == 0
 	c.observeIdleLimit(resp.Header, call.KeepIdle)
 	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 }
 
+// readBody reads the whole body of an answer.
+func readBody(resp *http.Response, limit int64) ([]byte, error) {
+	const tooLarge = corrupt("the answer is larger than the limit")
+	if n := resp.ContentLength; n >= 0 && n <= limit {
+		// A body of known length needs one allocation.
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	} else if n > limit {
+		return nil, tooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if int64(len(body)) > limit {
+		return nil, tooLarge
+	}
+	return body, err
+}
+
+// The requests that answers are read for: only their method counts.
+var (
+	anyRequest  = &http.Request{Method: http.MethodGet}
+	headRequest = &http.Request{Method: http.MethodHead}
+)
+
 // readHead reads the head of the final answer.
 func (c *conn) readHead(call *Call) (*http.Response, error) {
+	req := anyRequest
+	if call.Method == http.MethodHead {
+		req = headRequest
+	}
 	for {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: call.Method})
+		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -71,6 +71,11 @@
 	Target string
 	Host   string
 	Header http.Header
+	// Head is what AppendHead makes of the fields above; a caller that sends the same
+	// to many servers makes it once.
+	Head []byte
+	// Fields are further header fields.
+	Fields []Field
 	Body   []byte
 	// HasBody makes a length go out for an empty body.
 	HasBody bool
@@ -83,6 +88,27 @@
 	KeepIdle time.Duration
 }
 
+// Field is one field of a header.
+type Field struct{ Name, Value string }
+
+// AppendHead appends the request line and the header, without Fields.
+func (call *Call) AppendHead(b []byte) []byte {
+	b = append(append(b, call.Method...), ' ')
+	b = append(append(b, call.Target...), " HTTP/1.1\r\n"...)
+	b = appendField(b, "Host", call.Host)
+	for name, values := range call.Header {
+		for _, v := range values {
+			b = appendField(b, name, v)
+		}
+	}
+	return b
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(append(b, name...), ": "...)
+	return append(append(b, value...), "\r\n"...)
+}
+
 // Reply is a whole answer.
 type Reply struct {
 	Status int
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -26,12 +26,11 @@
 
 // Request is one client attempt.
 type Request struct {
-	ID      string
-	Route   *catalog.Route
-	Method  string
-	Target  string
-	Host    string
-	Header  http.Header
+	ID     string
+	Route  *catalog.Route
+	Method string
+	// Head is what the Sender has prepared of the request for all servers.
+	Head    []byte
 	Body    []byte
 	HasBody bool
 	// Arrived is when the request was read.
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"time"
 
@@ -356,6 +357,7 @@
 	step := len(r.steps)
 	r.steps = append(r.steps, Step{Server: s, At: start.Sub(r.start)})
 	go func() {
+		growStack()
 		reply := r.engine.sender.Send(r.base, s, r.req)
 		now := time.Now()
 		outcome := outcomeOf(r.base, reply)
@@ -369,6 +371,18 @@
 	}()
 }
 
+// stackSize is what a send needs of its stack in bytes, rounded up.
+const stackSize = 6 << 10
+
+// growStack makes the stack of a new goroutine large enough in one step. Growing it in
+// three, with more frames to move each time, takes 8 % of a send's processor time.
+//
+//go:noinline
+func growStack() {
+	var b [stackSize]byte
+	runtime.KeepAlive(&b)
+}
+
 // outcomeOf returns what the end of a request tells of its server. One that was
 // given up for the client's sake tells nothing.
 func outcomeOf(base context.Context, r *Reply) fleet.Outcome {
