--- a/internal/store/source/source.go
+++ b/internal/store/source/source.go
@@ -50,6 +50,8 @@
 	Unreachable
 )
 
+//go:generate ../../../.bin/enumer -type=Standing -transform=snake -output=standing_enumer.go
+
 const (
 	// unreachableTime is how long a host that gave no answer is not asked again.
 	unreachableTime = 3 * time.Second
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -47,6 +47,10 @@
 	ConfigVersion func() int64
 	// StoreAge returns the time since the store last answered.
 	StoreAge func() time.Duration
+	// FollowsStore reports whether this host follows the store itself, SourceChanges how
+	// often it changed whom it learns of changes from.
+	FollowsStore  func() bool
+	SourceChanges func() int64
 	// State returns further parts of the state for the dump.
 	State func() any
 }
@@ -128,6 +132,13 @@
 	m.gauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
 	m.gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
 	m.gauge("store_silence_seconds", "Time since the store last answered.", func() float64 { return s.StoreAge().Seconds() })
+	m.gauge("follows_store", "1 if this host follows the store itself, 0 if it learns of changes from another host.", func() float64 {
+		if s.FollowsStore() {
+			return 1
+		}
+		return 0
+	})
+	m.counter("source_changes_total", "Changes of whom this host learns of changes from.", "", "", func() float64 { return float64(s.SourceChanges()) })
 	m.counter("log_lines_dropped_total", "Log lines lost because the output was behind.", "", "", func() float64 { return float64(s.Lines.Dropped()) })
 	m.counter("log_requests_denied_total", "Requests without lines because of the rate.", "", "", func() float64 { return float64(s.Lines.Denied()) })
 }
