--- a/tests/soak/main.go
+++ b/tests/soak/main.go
@@ -20,7 +20,7 @@
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of the faults")
 	seconds := flag.Int("seconds", 20, "length of the run")
-	fronts := flag.Int("fronts", 3, "number of front processes")
+	fronts := flag.Int("fronts", 4, "number of front processes")
 	binary := flag.String("binary", "", "program to run; built if empty")
 	flag.Parse()
 	s, err := newSoak(*seed, *fronts, *binary)
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -25,6 +25,8 @@
 	callerRate = 25 * time.Millisecond
 	callers    = 4
 	drainBound = 4 * time.Second
+	// neighbours is how many fronts a zone has; they learn of changes from each other.
+	neighbours = 2
 )
 
 // upstream is one server with its link.
@@ -180,9 +182,10 @@
 region: %q
 zones: {z0: r0, z1: r1, z2: r2}
 bind_addresses: {front: "%s:8080", ready: "%s:8081"}
+internal_ports: [8082, 8083]
 bounds: {grace_s: 6, drain_ms: %d, config_apply_ms: 4000}
 platform: {address: %q, form: "objects"}
-`, f.name, zone(i), "r"+strconv.Itoa(i%zones), f.ip, f.ip, drainBound.Milliseconds(), s.storeLink.Addr())
+`, f.name, zone(i/neighbours), "r"+strconv.Itoa(i/neighbours%zones), f.ip, f.ip, drainBound.Milliseconds(), s.storeLink.Addr())
 	path := filepath.Join(s.dir, f.name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
