--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -43,6 +43,8 @@
 	Cutting
 	// Slow answers after half a second.
 	Slow
+	// Silent takes calls and answers none.
+	Silent
 )
 
 const slowness = 500 * time.Millisecond
@@ -196,6 +198,8 @@
 	s.mu.Unlock()
 	query := r.URL.Query()
 	switch {
+	case fault == Silent:
+		<-r.Context().Done()
 	case fault == Down || s.isRefused(r):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case !ok:
@@ -281,7 +285,7 @@
 		switch {
 		case fault == Down || fault == Cutting || s.isRefused(r):
 			panic(http.ErrAbortHandler)
-		case fault == Deaf:
+		case fault == Deaf || fault == Silent:
 			<-r.Context().Done()
 			return
 		case gone:
