--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	go test -fuzz=FuzzBody -fuzztime=60s ./routers/caller
 	go test -run '^$$' -fuzz=FuzzObjects -fuzztime=60s ./platform
 	go test -run '^$$' -fuzz=FuzzSettings -fuzztime=60s ./platform
+	go test -run '^$$' -fuzz=FuzzNews -fuzztime=60s ./platform
 	go test -fuzz=FuzzMessage -fuzztime=60s ./services/peer
 
 demo: ## Run a small deployment as separate processes.
