--- a/internal/store/source/controller.go
+++ b/internal/store/source/controller.go
@@ -126,8 +126,11 @@
 	return c.moved
 }
 
-// Asked records that a host asked this one.
+// Asked records that a host asked this one. Names that are no host's don't count.
 func (c *Controller) Asked(name string) {
+	if !c.Knows(name) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.askedAt[name] = time.Now()
--- a/internal/store/source/source.go
+++ b/internal/store/source/source.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// Knows reports whether a name is that of a host of the data centre.
+func (c *Chooser) Knows(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.order, func(h Host) bool { return h.Name == name })
+}
+
 // compare orders hosts: the stronger first, and equal ones by a hash, so that the
 // work falls on other hosts where names are the same in each data centre.
 func compare(a, b Host) int {
