Entries that lapsed with a silent store stay until they had time to return

Cause: found by reading: a store that answers nothing for seconds keeps the waiting watches. After its return they told of the entries that lapsed meanwhile as of servers that left, and requests were refused until the servers had written again (503 in the new test).

--- a/internal/store/gate/gate.go
+++ b/internal/store/gate/gate.go
@@ -38,6 +38,8 @@
 	// isShut tells whether the last call failed; turned is closed when that changes.
 	isShut bool
 	turned chan struct{}
+	// shuts counts how often the gate was shut.
+	shuts int
 	// pause is the time before the next try.
 	pause time.Duration
 }
@@ -51,6 +53,14 @@
 	return isShut
 }
 
+// Shuts returns how often the gate was shut: a call that began before and ended after
+// one of these spans a time in which the store was away.
+func (g *Gate) Shuts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shuts
+}
+
 func (g *Gate) state() (bool, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -64,6 +74,9 @@
 	isShut := err != nil
 	if isShut != g.isShut {
 		g.isShut, g.pause = isShut, 0
+		if isShut {
+			g.shuts++
+		}
 		close(g.turned)
 		g.turned = make(chan struct{})
 	}
--- a/internal/store/mirror/mirror.go
+++ b/internal/store/mirror/mirror.go
@@ -68,7 +68,7 @@
 	// listedAt is the revision from which on changes are complete.
 	listedAt int64
 	changes  []Change[T]
-	// outageAt is when a list was read that followed an outage.
+	// outageAt is when something was read that followed an outage.
 	outageAt time.Time
 }
 
@@ -108,8 +108,9 @@
 	return true
 }
 
-// Apply takes in changes up to a revision and returns those that were not known.
-func (m *Mirror[T]) Apply(name string, changes []Change[T], revision int64) []Change[T] {
+// Apply takes in changes up to a revision and returns those that were not known. After
+// an outage objects that are gone may come back.
+func (m *Mirror[T]) Apply(name string, changes []Change[T], revision int64, afterOutage bool) []Change[T] {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kinds[name]
@@ -128,6 +129,9 @@
 			k.objects[c.Name] = c
 		}
 	}
+	if afterOutage {
+		k.outageAt = time.Now()
+	}
 	k.revision = max(k.revision, revision)
 	k.changes = append(k.changes, news...)
 	if extra := len(k.changes) - maxChanges; extra > 0 {
@@ -150,9 +154,9 @@
 		return Update[T]{Revision: revision}
 	}
 	u := Update[T]{Revision: k.revision}
+	u.AfterOutage = !k.outageAt.IsZero() && time.Since(k.outageAt) < returnTime
 	if revision < k.listedAt {
 		u.Whole = true
-		u.AfterOutage = !k.outageAt.IsZero() && time.Since(k.outageAt) < returnTime
 		for _, o := range k.objects {
 			u.Changes = append(u.Changes, o)
 		}
--- a/internal/store/mirror/mirror_test.go
+++ b/internal/store/mirror/mirror_test.go
@@ -26,7 +26,7 @@
 func TestReaderGetsWhatItLacks(t *testing.T) {
 	m := New[string]()
 	m.Replace("servers", []Change[string]{change("a", 3), change("b", 5)}, 7, false)
-	m.Apply("servers", []Change[string]{change("c", 9)}, 9)
+	m.Apply("servers", []Change[string]{change("c", 9)}, 9, false)
 	for _, test := range []struct {
 		from  int64
 		whole bool
@@ -49,7 +49,7 @@
 	if m.Replace("servers", []Change[string]{change("a", 3)}, 19, false) {
 		t.Error("an older list was taken in")
 	}
-	if news := m.Apply("servers", []Change[string]{change("b", 15), change("c", 21)}, 21); len(news) != 1 || news[0].Name != "c" {
+	if news := m.Apply("servers", []Change[string]{change("b", 15), change("c", 21)}, 21, false); len(news) != 1 || news[0].Name != "c" {
 		t.Errorf("news %v", news)
 	}
 }
@@ -58,7 +58,7 @@
 	m := New[string]()
 	m.Replace("servers", nil, 1, false)
 	for r := int64(2); r < 3*maxChanges; r++ {
-		m.Apply("servers", []Change[string]{change("a", r)}, r)
+		m.Apply("servers", []Change[string]{change("a", r)}, r, false)
 	}
 	if u := m.Since("servers", 5); !u.Whole || len(u.Changes) != 1 {
 		t.Errorf("%+v", u)
@@ -101,7 +101,7 @@
 						missed = append(missed, c)
 					}
 				}
-				mirrors[i].Apply("k", missed, revision)
+				mirrors[i].Apply("k", missed, revision, false)
 			}
 			at[i] = revision
 		}
@@ -110,7 +110,7 @@
 			if u.Whole {
 				reader.Replace("k", u.Changes, u.Revision, u.AfterOutage)
 			} else {
-				reader.Apply("k", u.Changes, u.Revision)
+				reader.Apply("k", u.Changes, u.Revision, u.AfterOutage)
 			}
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -43,7 +43,7 @@
 	Cutting
 	// Slow answers after half a second.
 	Slow
-	// Silent takes calls and answers none.
+	// Silent takes calls and answers none; watches that wait are answered afterwards.
 	Silent
 )
 
@@ -285,7 +285,14 @@
 		switch {
 		case fault == Down || fault == Cutting || s.isRefused(r):
 			panic(http.ErrAbortHandler)
-		case fault == Deaf || fault == Silent:
+		case fault == Silent:
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			}
+		case fault == Deaf:
 			<-r.Context().Done()
 			return
 		case gone:
