An answer that states the length of a body which does not follow is whole

A stated length of up to 16 MB also took that memory before a byte came. Change: no body is read where none is due; memory is taken ahead for up to 64 KB. Tests: TestAnswersWithoutTheBodyThatTheyState, failed first (read: EOF).

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -20,6 +20,9 @@
 	// inlineBody is the largest body in bytes that is written before the answer
 	// is read; a larger one may block on a server that answers early.
 	inlineBody = 16 << 10
+	// exactBody is the largest stated length of a body in bytes for which memory is
+	// taken before the body comes.
+	exactBody = 64 << 10
 	// maxSkipped bounds the answers to other requests that are read past.
 	maxSkipped = 3
 )
@@ -188,13 +191,16 @@
 // readBody reads the whole body of an answer.
 func readBody(resp *http.Response, limit int64) ([]byte, error) {
 	const tooLarge = corrupt("the answer is larger than the limit")
-	if n := resp.ContentLength; n >= 0 && n <= limit {
-		// A body of known length needs one allocation.
+	switch n := resp.ContentLength; {
+	case resp.Body == http.NoBody:
+		// The answer to HEAD states a length all the same.
+		return nil, nil
+	case n > limit:
+		return nil, tooLarge
+	case n >= 0 && n <= exactBody:
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
-	} else if n > limit {
-		return nil, tooLarge
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if int64(len(body)) > limit {
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -266,3 +266,36 @@
 		}
 	})
 }
+
+// An answer to HEAD, and one that the client's copy is up to date, state the length of
+// a body that does not follow.
+func TestAnswersWithoutTheBodyThatTheyState(t *testing.T) {
+	for method, head := range map[string]string{
+		http.MethodHead: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+		http.MethodGet:  "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			answer := func(nc net.Conn, r *bufio.Reader) {
+				for range 2 {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					io.WriteString(nc, head) //nolint:errcheck // The test ends the connection.
+				}
+			}
+			p, dials := newTestPool(answer, answer)
+			for range 2 {
+				c := call()
+				c.Method = method
+				reply, err := p.Exchange(t.Context(), "a", c)
+				if err != nil || len(reply.Body) != 0 {
+					t.Fatalf("%s: %v, %v", method, reply, err)
+				}
+			}
+			if *dials != 1 {
+				t.Errorf("%s: %d connections for two answers that end", method, *dials)
+			}
+			p.Prune(time.Now().Add(time.Hour))
+		})
+	}
+}
