An entry that comes in while requests read it no longer races with them

The fault is older than the test: entries were written under the lock of their group and read without it. Ruled out: the mirrors (the followers apply as before). Change: a server points to its newest entry. Tests: TestEntriesComeInWhileRequestsReadThem under the race detector.

--- a/internal/routing/fleet/dump.go
+++ b/internal/routing/fleet/dump.go
@@ -49,11 +49,11 @@
 	list := make([]ServerState, 0, len(g.servers))
 	for _, s := range g.servers {
 		list = append(list, ServerState{
-			ID: s.entry.ID, Service: s.entry.Service, Zone: s.entry.Zone, Address: s.entry.Address,
+			ID: s.entry().ID, Service: s.entry().Service, Zone: s.entry().Zone, Address: s.entry().Address,
 			Open: s.isOpen(), Down: s.isDark(now, g.typical), InFlight: s.inFlight,
 			WorkMs: inMilliseconds(s.service), RoundMs: inMilliseconds(s.roundTrip),
 			Silence: inMilliseconds(s.silence(now)), Failures: s.failures * s.fade(now, failureFade),
-			Sequence: s.entry.Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters), Limit: min(s.limit, float64(s.mostRoom())),
+			Sequence: s.entry().Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters), Limit: min(s.limit, float64(s.mostRoom())),
 		})
 	}
 	return list
--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -124,7 +124,7 @@
 	addresses := make(map[string]string, len(entries))
 	for _, e := range entries {
 		s := f.servers[e.ID]
-		if s == nil || s.entry.Born != e.Born || s.entry.Address != e.Address || s.entry.Service != e.Service {
+		if s == nil || s.entry().Born != e.Born || s.entry().Address != e.Address || s.entry().Service != e.Service {
 			s = newServer(e, f.distance(e), f.place.Host)
 			s.isConnected = f.isConnected
 			s.roundTrip = f.roundTrip(e.Zone, s.distance)
@@ -136,8 +136,8 @@
 	}
 	var unused []string
 	for _, s := range f.servers {
-		if addresses[s.entry.Address] == "" {
-			unused = append(unused, s.entry.Address)
+		if addresses[s.entry().Address] == "" {
+			unused = append(unused, s.entry().Address)
 		}
 	}
 	f.servers, f.zones = servers, addresses
@@ -171,8 +171,8 @@
 	}
 	f.roundTrips[zone] = took
 	for _, x := range f.servers {
-		if x.entry.Zone == zone {
-			f.group(x.entry.Service).setRoundTrip(x, took)
+		if x.entry().Zone == zone {
+			f.group(x.entry().Service).setRoundTrip(x, took)
 		}
 	}
 }
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -90,7 +90,7 @@
 func (g *Group) adopt(s *Server, e membership.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.entry = e
+	s.told.Store(&e)
 }
 
 func (g *Group) replace(servers []*Server, evacuated map[string]bool) {
@@ -100,7 +100,7 @@
 		s.removed = !slices.Contains(servers, s)
 	}
 	for _, s := range servers {
-		s.evacuated = evacuated[s.entry.Zone]
+		s.evacuated = evacuated[s.entry().Zone]
 	}
 	g.servers = servers
 	g.serveWaiters(time.Now())
@@ -110,7 +110,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.servers {
-		s.evacuated = zones[s.entry.Zone]
+		s.evacuated = zones[s.entry().Zone]
 	}
 }
 
@@ -181,7 +181,7 @@
 	if !s.isOpen() || slices.Contains(ask.Tried, s) {
 		return false
 	}
-	return ask.Allows == nil || ask.Allows(s.entry.Region)
+	return ask.Allows == nil || ask.Allows(s.entry().Region)
 }
 
 // HasServer reports whether any open server fits that is not taken to be down,
--- a/internal/routing/fleet/placing_test.go
+++ b/internal/routing/fleet/placing_test.go
@@ -81,3 +81,24 @@
 		}
 	}
 }
+
+// A newer entry comes in while requests read the one they were placed by.
+func TestEntriesComeInWhileRequestsReadThem(t *testing.T) {
+	f, g := newTestGroup(0)
+	s := g.Pick(time.Now(), Ask{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 1000 {
+			e := entry("near", "z0", "r0")
+			e.Sequence = int64(i)
+			f.Update([]membership.Entry{e})
+		}
+	}()
+	for range 1000 {
+		if s.ID() != "near" || s.Address() != "near:80" {
+			t.Fatalf("%q at %q", s.ID(), s.Address())
+		}
+	}
+	<-done
+}
--- a/internal/routing/fleet/queue_test.go
+++ b/internal/routing/fleet/queue_test.go
@@ -108,7 +108,7 @@
 		if s == nil {
 			break
 		}
-		if s.entry.Region != "r1" {
+		if s.entry().Region != "r1" {
 			t.Fatalf("picked %s", s.ID())
 		}
 	}
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/membership"
@@ -84,7 +85,8 @@
 // Server is what this host knows of one incarnation of a server. Its Group
 // guards the mutable fields.
 type Server struct {
-	entry     membership.Entry
+	// told is the newest entry. Requests read it while a newer one comes in.
+	told      atomic.Pointer[membership.Entry]
 	distance  Distance
 	roundTrip time.Duration
 	// preference orders servers that are equally good, differently at each host.
@@ -116,26 +118,31 @@
 // newServer returns what the host self knows of a new server.
 func newServer(e membership.Entry, d Distance, self string) *Server {
 	weight := float64(rendezvous.Weight(e.ID, self)) / math.MaxUint64
-	return &Server{entry: e, distance: d, preference: time.Duration(weight * float64(preferenceCost)), limit: math.Inf(1)}
+	s := &Server{distance: d, preference: time.Duration(weight * float64(preferenceCost)), limit: math.Inf(1)}
+	s.told.Store(&e)
+	return s
 }
 
+// entry returns the newest entry of the server.
+func (s *Server) entry() *membership.Entry { return s.told.Load() }
+
 // ID returns the identity of the server.
-func (s *Server) ID() string { return s.entry.ID }
+func (s *Server) ID() string { return s.entry().ID }
 
 // Address returns host and port.
-func (s *Server) Address() string { return s.entry.Address }
+func (s *Server) Address() string { return s.entry().Address }
 
 // Service returns the service of the server.
-func (s *Server) Service() string { return s.entry.Service }
+func (s *Server) Service() string { return s.entry().Service }
 
 // Version returns the version of the server's software.
-func (s *Server) Version() string { return s.entry.Version }
+func (s *Server) Version() string { return s.entry().Version }
 
 // Zone returns the zone of the server.
-func (s *Server) Zone() string { return s.entry.Zone }
+func (s *Server) Zone() string { return s.entry().Zone }
 
 // Sequence returns how often the server had written its entry when it was read.
-func (s *Server) Sequence() int64 { return s.entry.Sequence }
+func (s *Server) Sequence() int64 { return s.entry().Sequence }
 
 // Distance returns how far the server is.
 func (s *Server) Distance() Distance { return s.distance }
@@ -149,7 +156,7 @@
 }
 
 // isOpen reports whether the server may get new work.
-func (s *Server) isOpen() bool { return !s.entry.Draining && !s.evacuated && !s.removed }
+func (s *Server) isOpen() bool { return !s.entry().Draining && !s.evacuated && !s.removed }
 
 // room returns how many requests this host may have at the server. A server that
 // is taken to be down gets one, which tells when it is back.
@@ -167,9 +174,9 @@
 // mostRoom is the room at a server that answers in time.
 func (s *Server) mostRoom() int {
 	if s.distance == OtherRegion {
-		return s.entry.Capacity + farQueue
+		return s.entry().Capacity + farQueue
 	}
-	return s.entry.Capacity + nearQueue
+	return s.entry().Capacity + nearQueue
 }
 
 // observeInTime raises the limit after a reply in time and cuts it after a late
@@ -219,7 +226,7 @@
 	if s.service > 0 {
 		own = typical + time.Duration(s.fade(now, fadeTime)*float64(s.service-typical))
 	}
-	if now.Before(s.entry.ColdUntil) {
+	if now.Before(s.entry().ColdUntil) {
 		own = max(own, time.Duration(coldFactor*float64(typical)))
 	}
 	return max(own, serviceFloor)
@@ -244,7 +251,7 @@
 // add.
 func (s *Server) expected(now time.Time, typical time.Duration) time.Duration {
 	service := s.serviceTime(now, typical)
-	slots := max(s.entry.Capacity, 1)
+	slots := max(s.entry().Capacity, 1)
 	cost := s.preference + s.roundTrip + service + service*time.Duration(s.inFlight)/time.Duration(slots)
 	cost += time.Duration(s.failures * s.fade(now, failureFade) * float64(failureCost))
 	if s.isSilent(now, typical) {
@@ -253,7 +260,7 @@
 	if now.Before(s.pauseUntil) {
 		cost += pauseCost
 	}
-	if s.isConnected != nil && !s.isConnected(s.entry.Address) {
+	if s.isConnected != nil && !s.isConnected(s.entry().Address) {
 		cost += s.roundTrip + openCost
 	}
 	switch s.distance {
