--- a/internal/store/source/source.go
+++ b/internal/store/source/source.go
@@ -3,10 +3,10 @@
 //
 // # Usage
 //
-//	c := source.New(source.Host{Name: "kgn-a-1", Power: 0.4})
+//	c := source.NewController(source.Host{Name: "kgn-a-1", Power: 0.4}, link, bound, fresh)
+//	go c.Run(ctx)
 //	c.SetHosts(hosts)
-//	for _, h := range c.Candidates(now, source.Better) { ... }
-//	c.Failed(h.Name, source.Unreachable, now)
+//	if c.IsServing(now) { ... } // others may learn from this host
 //
 // Every host knows the same order of the hosts of its data centre, the strongest
 // first, and follows the first one that follows the store. The first host has nobody
