One return time of lapsed entries, no second share of a bound, a factor of one goes

Found by reading the whole change: the mirror had a copy of membership.ReturnTime; the controller had a copy of platform's part() for one share, now a field; powerSteps multiplied by one. Behaviour as before; the tests keep their assertions.

--- a/internal/store/mirror/mirror.go
+++ b/internal/store/mirror/mirror.go
@@ -21,15 +21,14 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/godwithatch/godwithatch/internal/routing/membership"
 )
 
 const (
 	// maxChanges bounds the changes that are kept of one kind. A reader that is
 	// farther behind gets all objects.
 	maxChanges = 2048
-	// returnTime is how long after an outage of the store a list may lack objects
-	// that are about to come back; readers are told so. It is membership's.
-	returnTime = 2 * time.Second
 )
 
 // Change is one object as it was at its last change.
@@ -154,7 +153,7 @@
 		return Update[T]{Revision: revision}
 	}
 	u := Update[T]{Revision: k.revision}
-	u.AfterOutage = !k.outageAt.IsZero() && time.Since(k.outageAt) < returnTime
+	u.AfterOutage = !k.outageAt.IsZero() && time.Since(k.outageAt) < membership.ReturnTime
 	if revision < k.listedAt {
 		u.Whole = true
 		for _, o := range k.objects {
--- a/internal/store/mirror/mirror_test.go
+++ b/internal/store/mirror/mirror_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/godwithatch/godwithatch/internal/routing/membership"
 )
 
 func change(name string, revision int64) Change[string] {
@@ -75,7 +77,7 @@
 		if !m.Since("servers", 10).AfterOutage {
 			t.Error("not told")
 		}
-		time.Sleep(returnTime + time.Millisecond)
+		time.Sleep(membership.ReturnTime + time.Millisecond)
 		if m.Since("servers", 10).AfterOutage {
 			t.Error("told for too long")
 		}
--- a/internal/store/source/controller.go
+++ b/internal/store/source/controller.go
@@ -76,9 +76,9 @@
 type Controller struct {
 	*Chooser
 	link Link
-	// bound is the time in which changes are due, fresh how old the last answer of the
-	// store may be for others to rely on it.
-	bound, fresh time.Duration
+	// step is the time that each host before this one has to follow the store, fresh how
+	// old the last answer of the store may be for others to rely on it.
+	step, fresh time.Duration
 	// known receives a value when the hosts have changed.
 	known chan struct{}
 
@@ -96,7 +96,7 @@
 // within bound; an answer of the store counts as recent for fresh.
 func NewController(self Host, link Link, bound, fresh time.Duration) *Controller {
 	return &Controller{
-		Chooser: New(self), link: link, bound: bound, fresh: fresh,
+		Chooser: New(self), link: link, step: time.Duration(turnShare * float64(bound)), fresh: fresh,
 		known: make(chan struct{}, 1), moved: make(chan struct{}), askedAt: map[string]time.Time{},
 	}
 }
@@ -187,7 +187,7 @@
 func (c *Controller) find(ctx context.Context) *Host {
 	for start := time.Now(); ctx.Err() == nil; {
 		h, idle := c.ask(ctx, Better, false)
-		if h != nil || time.Since(start) >= Turn(idle, part(turnShare, c.bound)) {
+		if h != nil || time.Since(start) >= Turn(idle, c.step) {
 			return h
 		}
 		pause.For(ctx, askAgain)
@@ -195,11 +195,6 @@
 	return nil
 }
 
-// part returns a share of a bound.
-func part(share float64, bound time.Duration) time.Duration {
-	return time.Duration(share * float64(bound))
-}
-
 // ask returns the first candidate that serves, and how many are well and do not.
 func (c *Controller) ask(ctx context.Context, choice Choice, isTrial bool) (*Host, int) {
 	idle := 0
@@ -261,7 +256,7 @@
 func (c *Controller) look(ctx context.Context, s Session) *Host {
 	start := time.Now()
 	reachedAt, forgot := start, start
-	settle, step := time.Duration(0), part(turnShare, c.bound)
+	settle, step := time.Duration(0), c.step
 	if s.IsNew {
 		settle, step = settleTime, settleStep
 	}
@@ -277,7 +272,7 @@
 			s.Turn.Set(false)
 		case now.Sub(reachedAt) >= settle+Turn(idle, step):
 			s.Turn.Set(true)
-			settle, step = 0, part(turnShare, c.bound)
+			settle, step = 0, c.step
 		}
 		if choice == Better && now.Sub(reachedAt) < settle+lookInterval {
 			interval = min(interval, settleInterval)
--- a/internal/store/source/source.go
+++ b/internal/store/source/source.go
@@ -55,8 +55,6 @@
 const (
 	// unreachableTime is how long a host that gave no answer is not asked again.
 	unreachableTime = 3 * time.Second
-	// powerSteps is in how many steps powers count as different for each doubling.
-	powerSteps = 1
 )
 
 // Choice says which hosts are candidates.
@@ -118,7 +116,7 @@
 	if power <= 0 {
 		return math.MinInt
 	}
-	return int(math.Round(powerSteps * math.Log2(power)))
+	return int(math.Round(math.Log2(power)))
 }
 
 // Candidates returns the hosts to ask in order, without those that gave no answer a
