Cold servers get what they bear: shares of the limit by host

Cause: services may state how many requests a second their cold servers bear (cold_per_s). The known deployments state 0, so nothing kept it. Ruled out: waiting for the entry alone (an evacuated zone's entries may come after the end of the evacuation, and a server that starts under its old ID answers before its entry); asking other hosts (they may be cut off); equal shares (hosts of the server's region send most). Each host works out its share of the limit from the entries of all hosts, three quarters for the hosts of the server's region, and counts its own requests in any second. Shares add up whoever is cut off; a host that knows no hosts sends nothing to cold servers. Servers count as cold after an evacuation and after a refused connection until the service's cold time is over. Requests that wait for a cold server are looked at again when it may get its next. Where no limit is stated nothing changes.

--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -20,6 +20,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Part is one service of a split route.
@@ -137,6 +139,9 @@
 // Service returns a service by its name; an unknown one has no limits.
 func (c *Catalog) Service(name string) Service { return c.services[name] }
 
+// Services returns all services.
+func (c *Catalog) Services() []Service { return lo.Values(c.services) }
+
 // Match returns the route with the longest prefix of path at a host, or nil. A
 // port behind the host name is ignored.
 func (c *Catalog) Match(host, path string) *Route {
--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -74,6 +74,9 @@
 	roundTrips map[string]time.Duration
 	// zones are the zones of addresses.
 	zones map[string]string
+	// coldLimits are what cold servers bear, by service; peers share that.
+	coldLimits map[string]ColdLimit
+	peers      []Peer
 }
 
 // New returns an empty Fleet of a host.
@@ -128,6 +131,7 @@
 			s = newServer(e, f.distance(e), f.place.Host)
 			s.isConnected = f.isConnected
 			s.roundTrip = f.roundTrip(e.Zone, s.distance)
+			s.cold.terms = f.coldTerms(e.Service)
 		}
 		servers[e.ID] = s
 		addresses[e.Address] = e.Zone
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -77,6 +77,8 @@
 	servers []*Server
 	typical time.Duration
 	waiters []*waiter
+	// wakesAt is when the waiters are looked at again for a cold server.
+	wakesAt time.Time
 }
 
 func newGroup(service string) *Group {
@@ -99,18 +101,20 @@
 	for _, s := range g.servers {
 		s.removed = !slices.Contains(servers, s)
 	}
+	now := time.Now()
 	for _, s := range servers {
-		s.evacuated = evacuated[s.entry().Zone]
+		s.evacuate(evacuated[s.entry().Zone], now)
 	}
 	g.servers = servers
-	g.serveWaiters(time.Now())
+	g.serveWaiters(now)
 }
 
 func (g *Group) evacuate(zones map[string]bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	for _, s := range g.servers {
-		s.evacuated = zones[s.entry().Zone]
+		s.evacuate(zones[s.entry().Zone], now)
 	}
 }
 
@@ -159,7 +163,7 @@
 	offset := randomOffset(n)
 	for i := range n {
 		s := g.servers[(offset+i)%n]
-		if !g.fits(s, ask) || !s.isUsable(now, g.typical) || s.inFlight >= s.room(now, g.typical) {
+		if !g.fits(s, ask) || !s.isUsable(now, g.typical) || s.inFlight >= s.room(now, g.typical) || !s.bears(now) {
 			continue
 		}
 		if cost := s.expected(now, g.typical); best == nil || cost < bestCost {
@@ -174,6 +178,9 @@
 	}
 	best.inFlight++
 	best.usedAt = now
+	if best.isCold(now) {
+		best.cold.count(now)
+	}
 	return best
 }
 
@@ -211,6 +218,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.inFlight--
+	s.cold.uncount()
 	g.serveWaiters(time.Now())
 }
 
@@ -231,6 +239,9 @@
 	switch outcome {
 	case Answered:
 		s.progressAt = now
+		if s.cold.isAway {
+			s.cold.cameBack(now)
+		}
 		s.pause, s.pauseUntil = 0, time.Time{}
 		s.observeService(latency)
 		s.observeFailure(0)
@@ -248,6 +259,7 @@
 	case Misdirected:
 		s.pauseUntil = now.Add(misdirectedPause)
 	case Unreachable:
+		s.cold.isAway = true
 		s.observeFailure(1)
 		s.passOver(now)
 	case Silent:
--- a/internal/routing/fleet/queue.go
+++ b/internal/routing/fleet/queue.go
@@ -67,6 +67,7 @@
 	}
 	w := &waiter{rank: rank, ask: ask, server: make(chan *Server, 1)}
 	g.waiters = append(g.waiters, w)
+	g.wakeForCold(now)
 	g.mu.Unlock()
 	select {
 	case s := <-w.server:
@@ -87,6 +88,7 @@
 	}
 	if s := <-w.server; s != nil {
 		s.inFlight--
+		s.cold.uncount()
 		g.serveWaiters(time.Now())
 	}
 	return nil
@@ -100,7 +102,11 @@
 	for _, s := range g.servers {
 		if s.isOpen() && !s.isDark(now, g.typical) {
 			own := s.roundTrip + s.serviceTime(now, g.typical)
-			perSecond += min(s.limit, float64(s.mostRoom())) / own.Seconds()
+			rate := min(s.limit, float64(s.mostRoom())) / own.Seconds()
+			if s.isCold(now) {
+				rate = min(rate, float64(s.coldShare())/coldWindow.Seconds())
+			}
+			perSecond += rate
 			service = min(service, own)
 		}
 	}
@@ -137,6 +143,7 @@
 	}
 	clear(g.waiters[len(kept):])
 	g.waiters = kept
+	g.wakeForCold(now)
 }
 
 // Waiting returns how many requests wait.
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -113,6 +113,7 @@
 	// crowdedRoom bounds the requests at a server until crowdedUntil.
 	crowdedRoom  int
 	crowdedUntil time.Time
+	cold         coldness
 }
 
 // newServer returns what the host self knows of a new server.
@@ -158,6 +159,15 @@
 // isOpen reports whether the server may get new work.
 func (s *Server) isOpen() bool { return !s.entry().Draining && !s.evacuated && !s.removed }
 
+// evacuate records whether operators have taken the server's zone out. Servers that
+// got nothing for a time may have cooled down.
+func (s *Server) evacuate(evacuated bool, now time.Time) {
+	if s.evacuated && !evacuated {
+		s.cold.cameBack(now)
+	}
+	s.evacuated = evacuated
+}
+
 // room returns how many requests this host may have at the server. A server that
 // is taken to be down gets one, which tells when it is back.
 func (s *Server) room(now time.Time, typical time.Duration) int {
@@ -203,6 +213,9 @@
 
 // isUsable reports whether the server may get new work, now or after a wait.
 func (s *Server) isUsable(now time.Time, typical time.Duration) bool {
+	if s.isCold(now) && s.coldShare() == 0 {
+		return false
+	}
 	return !s.isDark(now, typical) || s.inFlight == 0 && !now.Before(s.pauseUntil)
 }
 
@@ -226,7 +239,7 @@
 	if s.service > 0 {
 		own = typical + time.Duration(s.fade(now, fadeTime)*float64(s.service-typical))
 	}
-	if now.Before(s.entry().ColdUntil) {
+	if now.Before(s.entry().ColdUntil) || now.Before(s.cold.awayUntil) {
 		own = max(own, time.Duration(coldFactor*float64(typical)))
 	}
 	return max(own, serviceFloor)
