--- a/internal/routing/fleet/dump.go
+++ b/internal/routing/fleet/dump.go
@@ -23,6 +23,10 @@
 	Tokens   int     `json:"extra_sends_left"`
 	Waiting  int     `json:"requests_waiting"`
 	Limit    float64 `json:"limit"`
+	// ColdShare is how many requests a second this host may send while the server is
+	// cold, ColdMs how much longer it is taken to be so.
+	ColdShare int     `json:"cold_share"`
+	ColdMs    float64 `json:"cold_ms"`
 }
 
 // Dump returns the beliefs of all servers, by service and identity.
@@ -48,13 +52,17 @@
 	defer g.mu.Unlock()
 	list := make([]ServerState, 0, len(g.servers))
 	for _, s := range g.servers {
-		list = append(list, ServerState{
+		x := ServerState{
 			ID: s.entry().ID, Service: s.entry().Service, Zone: s.entry().Zone, Address: s.entry().Address,
 			Open: s.isOpen(), Down: s.isDark(now, g.typical), InFlight: s.inFlight,
 			WorkMs: inMilliseconds(s.service), RoundMs: inMilliseconds(s.roundTrip),
 			Silence: inMilliseconds(s.silence(now)), Failures: s.failures * s.fade(now, failureFade),
 			Sequence: s.entry().Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters), Limit: min(s.limit, float64(s.mostRoom())),
-		})
+		}
+		if s.isCold(now) {
+			x.ColdShare, x.ColdMs = s.coldShare(), inMilliseconds(later(s.entry().ColdUntil, s.cold.awayUntil).Sub(now))
+		}
+		list = append(list, x)
 	}
 	return list
 }
@@ -70,4 +78,12 @@
 	return n
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
