An entry that is read again does not make its server cold for longer

Cause: what is left of a cold start counts from when an entry is read. A list, or a change of the source, reads the same entry again: the server then counted as cold anew, and the entry as a change. Ruled out: counting from the server's start (clocks may differ). Change: an entry of the same start and sequence keeps the time first heard. Before: the test saw a change and two seconds more. After: neither.

--- a/internal/routing/membership/membership.go
+++ b/internal/routing/membership/membership.go
@@ -74,6 +74,10 @@
 	}
 	delete(t.missing, e.ID)
 	old, known := t.entries[e.ID]
+	if known && e.Born == old.Born && e.Sequence == old.Sequence {
+		// What was left of the cold time counts from when it was first heard.
+		e.ColdUntil = old.ColdUntil
+	}
 	if known && (e.isOlder(old) || e == old) {
 		return false
 	}
--- a/internal/routing/membership/membership_test.go
+++ b/internal/routing/membership/membership_test.go
@@ -79,3 +79,24 @@
 		t.Fatal("took in what the server said before its new start")
 	}
 }
+
+// A list names what a server said once more, with the same time left of its cold start.
+func TestSameEntryReadAgainIsNotColdForLonger(t *testing.T) {
+	var table Table
+	cold := entry("a", 5)
+	cold.ColdUntil = start.Add(3 * time.Second)
+	table.Put(cold)
+	again := cold
+	again.ColdUntil = start.Add(5 * time.Second)
+	if table.Replace([]Entry{again}, start.Add(2*time.Second)) {
+		t.Error("the same entry counts as a change")
+	}
+	if got := table.Entries()[0].ColdUntil; got != cold.ColdUntil {
+		t.Errorf("cold until %s, want %s", got, cold.ColdUntil)
+	}
+	newer := entry("a", 6)
+	newer.ColdUntil = start.Add(9 * time.Second)
+	if !table.Put(newer) || table.Entries()[0].ColdUntil != newer.ColdUntil {
+		t.Error("ignored a server that says later that it is cold")
+	}
+}
