--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -4,7 +4,9 @@
 // # Usage
 //
 //	f := fleet.New(fleet.Place{Host: "kgn-1", Zone: "kgn-a", Region: "kingston"})
-//	f.Update(entries, now)
+//	f.SetPeers(hosts)
+//	f.LimitCold(map[string]fleet.ColdLimit{"slot-finder-3": {PerSecond: 45, Time: 3 * time.Second}})
+//	f.Update(entries)
 //	group := f.Group("slot-finder-3")
 //	server := group.Pick(now, fleet.Ask{Tried: tried, Allows: route.AllowsRegion})
 //	defer group.Done(server, fleet.Answered, latency, time.Now())
@@ -16,7 +18,9 @@
 //     and failures send work elsewhere, and fade so that real requests find out
 //     when the server is well again;
 //   - the nearest servers are full: distance is part of the expected time, so
-//     work spills to other regions only when that is faster.
+//     work spills to other regions only when that is faster;
+//   - servers come back cold, a whole data centre at once: each host keeps to its share
+//     of what they bear.
 //
 // Weighed and left: health checks (priced, and they lie), a shared view of load
 // between hosts (bytes between regions, and stale within one request's time).
--- a/tests/measure/measure_test.go
+++ b/tests/measure/measure_test.go
@@ -107,5 +107,6 @@
 after 60 requests. Load is a share of all slots. "Lost" counts queries that failed, were
 refused or came back partial. Extra load is backup requests and probes over
 first requests. The baselines are our own code with other parts put in: every
-daemon direct to every server without limits on cold ones.
+daemon direct to every server without limits on cold ones, and without windows. Start,
+processor and memory of one host on the users' platform stand in DEPLOYMENTS.md.
 `
