Hosts that turn to the store open their turn at its first answer

The next in the order offered itself as a mirror before the store had answered it, so seven hosts followed it for 0.6 s and began their wait anew. The first host that the store served had waited its turn of 2.8 s, then again as after an outage, its first call of any kind came a second later, and meanwhile hosts that had one cheap answer and no news followed each other. Ruled out: the store's slowness alone (1.2 s a call; other data centres had each change within 1 s). Change: a host serves others only once the store has answered it since it turned there; one that turns there makes its cheap call at once, whatever it knows, and opens its turn with the answer, since it has waited already.

--- a/internal/store/source/controller.go
+++ b/internal/store/source/controller.go
@@ -83,6 +83,9 @@
 	known chan struct{}
 
 	isDirect atomic.Bool
+	// directAt is since when this host follows the store, in nanoseconds of the Unix
+	// time; it matters only while isDirect.
+	directAt atomic.Int64
 	// learnedAt is when this host was last in line with the store. Only Run uses it.
 	learnedAt time.Time
 
@@ -113,8 +116,17 @@
 // IsDirect reports whether this host follows the store itself.
 func (c *Controller) IsDirect() bool { return c.isDirect.Load() }
 
-// IsServing reports whether other hosts may rely on this one.
-func (c *Controller) IsServing(now time.Time) bool { return c.IsDirect() && !c.isCutOff(now) }
+// IsServing reports whether other hosts may rely on this one: it follows the store, and
+// the store has answered it since. What it knew from another host before says nothing of
+// the store; hosts that relied on it would each lose the time in which it finds out that
+// the store turns it away.
+func (c *Controller) IsServing(now time.Time) bool {
+	if !c.IsDirect() || c.isCutOff(now) {
+		return false
+	}
+	age, _ := c.link.Reach(now)
+	return now.Add(-age).UnixNano() >= c.directAt.Load()
+}
 
 // IsRecent reports whether an answer of the store that is so old may be relied on.
 func (c *Controller) IsRecent(age time.Duration) bool { return age <= c.fresh }
@@ -155,6 +167,7 @@
 }
 
 func (c *Controller) setDirect(isDirect bool) {
+	c.directAt.Store(time.Now().UnixNano())
 	c.isDirect.Store(isDirect)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -260,6 +273,8 @@
 	if s.IsNew {
 		settle, step = settleTime, settleStep
 	}
+	// A host that has run on has given those before it their time already, in find.
+	hasWaited := !s.IsNew
 	for idle := 0; ctx.Err() == nil; {
 		now := time.Now()
 		// A loss of the store is to be noticed when it is due.
@@ -268,8 +283,15 @@
 		switch {
 		case c.isCutOff(now):
 			choice, interval = Any, cutOffInterval
+			if hasWaited && now.Sub(start) < cutOffInterval {
+				// The first answer of the store is on its way.
+				interval = askAgain
+			}
 			reachedAt = now
 			s.Turn.Set(false)
+		case hasWaited:
+			hasWaited = false
+			s.Turn.Set(true)
 		case now.Sub(reachedAt) >= settle+Turn(idle, step):
 			s.Turn.Set(true)
 			settle, step = 0, c.step
