Since when a host follows the store is kept on the steady clock; one reading of the store's reach

Found on reading the change again. directAt was a Unix time, and the time of day may jump by seconds: after a jump back a host that follows the store would not have served others until the clock had caught up. It is a time with its steady reading now, and tells by itself whether the host follows the store, so isDirect goes. The age of the store and whether the host is cut off come from one call instead of two at three places. No test shows the jump: the paused clock has none. Tests of internal/store and platform pass, also under the race detector.

--- a/internal/store/source/controller.go
+++ b/internal/store/source/controller.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/godwithatch/godwithatch/modules/pause"
 )
 
@@ -82,10 +84,8 @@
 	// known receives a value when the hosts have changed.
 	known chan struct{}
 
-	isDirect atomic.Bool
-	// directAt is since when this host follows the store, in nanoseconds of the Unix
-	// time; it matters only while isDirect.
-	directAt atomic.Int64
+	// directAt is since when this host follows the store; nil means that it does not.
+	directAt atomic.Pointer[time.Time]
 	// learnedAt is when this host was last in line with the store. Only Run uses it.
 	learnedAt time.Time
 
@@ -114,18 +114,16 @@
 }
 
 // IsDirect reports whether this host follows the store itself.
-func (c *Controller) IsDirect() bool { return c.isDirect.Load() }
+func (c *Controller) IsDirect() bool { return c.directAt.Load() != nil }
 
 // IsServing reports whether other hosts may rely on this one: it follows the store, and
 // the store has answered it since. What it knew from another host before says nothing of
 // the store; hosts that relied on it would each lose the time in which it finds out that
 // the store turns it away.
 func (c *Controller) IsServing(now time.Time) bool {
-	if !c.IsDirect() || c.isCutOff(now) {
-		return false
-	}
-	age, _ := c.link.Reach(now)
-	return now.Add(-age).UnixNano() >= c.directAt.Load()
+	directAt := c.directAt.Load()
+	age, isCutOff := c.reach(now)
+	return directAt != nil && !isCutOff && !now.Add(-age).Before(*directAt)
 }
 
 // IsRecent reports whether an answer of the store that is so old may be relied on.
@@ -160,15 +158,19 @@
 	}
 }
 
-// isCutOff reports whether a host that follows the store has lost it.
-func (c *Controller) isCutOff(now time.Time) bool {
+// reach returns the time since the store last answered, and whether a host that follows
+// the store has lost it.
+func (c *Controller) reach(now time.Time) (age time.Duration, isCutOff bool) {
 	age, isFailing := c.link.Reach(now)
-	return isFailing || !c.IsRecent(age)
+	return age, isFailing || !c.IsRecent(age)
 }
 
 func (c *Controller) setDirect(isDirect bool) {
-	c.directAt.Store(time.Now().UnixNano())
-	c.isDirect.Store(isDirect)
+	var directAt *time.Time
+	if isDirect {
+		directAt = lo.ToPtr(time.Now())
+	}
+	c.directAt.Store(directAt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.moved)
@@ -254,7 +256,7 @@
 	c.setDirect(true)
 	next := c.look(ctx, s)
 	now := time.Now()
-	if age, _ := c.link.Reach(now); !c.isCutOff(now) {
+	if age, isCutOff := c.reach(now); !isCutOff {
 		c.learnedAt = now.Add(-age)
 	}
 	c.setDirect(false)
@@ -278,10 +280,10 @@
 	for idle := 0; ctx.Err() == nil; {
 		now := time.Now()
 		// A loss of the store is to be noticed when it is due.
-		age, _ := c.link.Reach(now)
+		age, isCutOff := c.reach(now)
 		choice, interval := Better, min(lookInterval, max(c.fresh-age, 0)+time.Millisecond)
 		switch {
-		case c.isCutOff(now):
+		case isCutOff:
 			choice, interval = Any, cutOffInterval
 			if hasWaited && now.Sub(start) < cutOffInterval {
 				// The first answer of the store is on its way.
