--- a/internal/routing/fleet/cold.go
+++ b/internal/routing/fleet/cold.go
@@ -132,11 +132,18 @@
 	return c.sent[len(c.sent)-c.share].Add(coldWindow)
 }
 
-// isCold reports whether the limit of a cold server holds.
-func (s *Server) isCold(now time.Time) bool {
-	return s.cold.terms != nil && (now.Before(s.entry().ColdUntil) || now.Before(s.cold.awayUntil))
+// coldUntil returns until when the server is taken to be cold, by its entry or because
+// it was away.
+func (s *Server) coldUntil() time.Time {
+	if told := s.entry().ColdUntil; told.After(s.cold.awayUntil) {
+		return told
+	}
+	return s.cold.awayUntil
 }
 
+// isCold reports whether the limit of a cold server holds.
+func (s *Server) isCold(now time.Time) bool { return s.cold.terms != nil && now.Before(s.coldUntil()) }
+
 // coldShare returns how many requests a second this host may send while the server is
 // cold. Most servers never are, so that the share is worked out when it is needed.
 func (s *Server) coldShare() int {
--- a/internal/routing/fleet/dump.go
+++ b/internal/routing/fleet/dump.go
@@ -60,7 +60,7 @@
 			Sequence: s.entry().Sequence, Tokens: g.extras.Tokens(), Waiting: len(g.waiters), Limit: min(s.limit, float64(s.mostRoom())),
 		}
 		if s.isCold(now) {
-			x.ColdShare, x.ColdMs = s.coldShare(), inMilliseconds(later(s.entry().ColdUntil, s.cold.awayUntil).Sub(now))
+			x.ColdShare, x.ColdMs = s.coldShare(), inMilliseconds(s.coldUntil().Sub(now))
 		}
 		list = append(list, x)
 	}
@@ -78,12 +78,4 @@
 	return n
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/routing/fleet/queue_test.go
+++ b/internal/routing/fleet/queue_test.go
@@ -25,15 +25,21 @@
 	return f, f.Group("s")
 }
 
+// takeAll takes all places of a group.
+func takeAll(g *Group, now time.Time) []*Server {
+	var taken []*Server
+	for s := g.Pick(now, Ask{}); s != nil; s = g.Pick(now, Ask{}) {
+		taken = append(taken, s)
+	}
+	return taken
+}
+
 // Overload: all places are taken, and requests of all kinds wait.
 func TestWaitingRequestsAreServedByRank(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, g := newTestGroup(0)
 		now := time.Now()
-		var taken []*Server
-		for s := g.Pick(now, Ask{}); s != nil; s = g.Pick(now, Ask{}) {
-			taken = append(taken, s)
-		}
+		taken := takeAll(g, now)
 		soon, later := now.Add(time.Second), now.Add(2*time.Second)
 		ranks := map[string]Rank{
 			"low":            {Priority: 2, Objective: soon},
@@ -65,10 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, g := newTestGroup(0)
 		now := time.Now()
-		var taken []*Server
-		for s := g.Pick(now, Ask{}); s != nil; s = g.Pick(now, Ask{}) {
-			taken = append(taken, s)
-		}
+		taken := takeAll(g, now)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan *Server)
 		go func() { done <- g.Acquire(ctx, Ask{}, Rank{}, time.Hour) }()
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -239,7 +239,7 @@
 	if s.service > 0 {
 		own = typical + time.Duration(s.fade(now, fadeTime)*float64(s.service-typical))
 	}
-	if now.Before(s.entry().ColdUntil) || now.Before(s.cold.awayUntil) {
+	if now.Before(s.coldUntil()) {
 		own = max(own, time.Duration(coldFactor*float64(typical)))
 	}
 	return max(own, serviceFloor)
