--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -135,6 +135,11 @@
 func (g *Group) Take(now time.Time, ask Ask, rank Rank, patience time.Duration) (*Server, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.take(now, ask, rank, patience)
+}
+
+// take is Take with mu held.
+func (g *Group) take(now time.Time, ask Ask, rank Rank, patience time.Duration) (*Server, bool) {
 	if len(g.waiters) == 0 {
 		if s := g.pick(now, ask); s != nil {
 			return s, false
--- a/internal/routing/fleet/queue.go
+++ b/internal/routing/fleet/queue.go
@@ -55,15 +55,10 @@
 func (g *Group) Acquire(ctx context.Context, ask Ask, rank Rank, patience time.Duration) *Server {
 	now := time.Now()
 	g.mu.Lock()
-	if len(g.waiters) == 0 {
-		if s := g.pick(now, ask); s != nil {
-			g.mu.Unlock()
-			return s
-		}
-	}
-	if !g.hasServer(ask, now) || g.expectedWait(rank, now) > patience {
+	s, mayWait := g.take(now, ask, rank, patience)
+	if !mayWait {
 		g.mu.Unlock()
-		return nil
+		return s
 	}
 	w := &waiter{rank: rank, ask: ask, server: make(chan *Server, 1)}
 	g.waiters = append(g.waiters, w)
