Hosts that the store answers at once do not follow each other

With the store slow, the hosts that turn to it have its first answer in the same moment. Each had decided before its pause to ask any host, found another one serving, and left the store for it; then none followed the store, all began their wait anew, and the change came up to 7.5 s after. Change: whom to ask is decided again after the pause: once the store has answered, only hosts before this one in the order, so the first of them stays.

--- a/internal/store/source/controller.go
+++ b/internal/store/source/controller.go
@@ -302,6 +302,11 @@
 			interval = min(interval, settleInterval)
 		}
 		c.pause(ctx, interval)
+		if _, isCutOff := c.reach(time.Now()); !isCutOff {
+			// The store has answered meanwhile. Hosts that it answers at once must not
+			// each follow the other.
+			choice = Better
+		}
 		var h *Host
 		if h, idle = c.ask(ctx, choice, true); h != nil {
 			return h
