A kind whose watch has gone deaf is listed again

The store made changes for a second without a word and dropped its history then. The check noticed after a second and asked for the same watch once more, still inside that second: the new one was as deaf, and the revision counted as one of a kind that nobody follows. Version 8 came with version 10, five seconds later. Ruled out: a lost list (there was none), mirrors (the host followed the store itself). Change: a deaf watch is followed by a list, which costs a call as the watch did and tells for certain.

--- a/internal/store/ledger/ledger.go
+++ b/internal/store/ledger/ledger.go
@@ -7,15 +7,15 @@
 //	l.Reset("servers", 207)         // a list was read at a revision
 //	l.Saw("servers", 208)           // a change arrived
 //	l.Advance("servers", 210)       // a watch answered up to a revision
-//	for _, kind := range l.Check(215) { ... } // the store is at 215: restart these
+//	for _, kind := range l.Check(215) { ... } // the store is at 215: list these again
 //
 // Every change of the store has a revision of its own. If the store has reached a
 // revision that no watch told of, and that is still so at the next check, one of
-// the watches may be deaf. Restarting those that have not got so far tells; after
+// the watches may be deaf. Listing the kinds that have not got so far tells; after
 // that the missing revisions count as changes of kinds that nobody follows.
 //
 // Weighed and left: shorter watches (a call each few seconds for every kind and
-// host is priced), listing again (the bytes are).
+// host is priced), a watch in place of the deaf one (it may be as deaf).
 package ledger
 
 import (
@@ -61,7 +61,7 @@
 func (l *Ledger) Floors() map[string]int64 { return maps.Clone(l.floors) }
 
 // Check takes in the revision that the store has reached and returns the kinds
-// whose watches are to be restarted.
+// that are to be listed again.
 func (l *Ledger) Check(revision int64) []string {
 	if l.isMissing(l.suspect) {
 		kinds := l.behind(l.suspect)
