Servers that leave or ask for rest get no further requests

Ruled out: closing the case with entries alone, since entries lag, arrive out of order and are missing in an outage. Change: fleet.Notice, recorded for an incarnation and kept while its entry is missing; a leaving server is out of rotation until its next start, a resting one until its time is over. Waiting requests go on at other servers, wait for the end of the rest if that is in time, or end at once; the client is told that time. A subrequest with no server left ends at once instead of trying until its maximum wait (denial no_server). Not decided by a 421 (another server answers).

--- a/internal/routing/fleet/cold.go
+++ b/internal/routing/fleet/cold.go
@@ -179,23 +179,23 @@
 	return !s.isCold(now) || s.coldShare() > 0 && !now.Before(s.cold.nextSendAt())
 }
 
-// scheduleWakeForColdServer starts a timer that assigns servers to the waiters when a
-// cold server may receive its next request. Without the timer, servers would be assigned
-// only when a request ends, which may be later. The caller holds mu.
-func (g *Group) scheduleWakeForColdServer(now time.Time) {
+// scheduleWake starts a timer that assigns servers to the waiters when a cold or resting
+// server may receive its next request. Without the timer, servers would be assigned only
+// when a request ends, which may be later. The caller holds mu.
+func (g *Group) scheduleWake(now time.Time) {
+	if len(g.waiters) == 0 {
+		return
+	}
 	var next time.Time
 	for _, s := range g.servers {
-		if !s.isInRotation() || !s.isCold(now) || s.coldShare() == 0 {
-			continue
-		}
-		if at := s.cold.nextSendAt(); at.After(now) && (next.IsZero() || at.Before(next)) {
+		if at := s.nextRequestAt(now); at.After(now) && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
-	if next.IsZero() || len(g.waiters) == 0 || g.coldServerWakeAt.After(now) && !next.Before(g.coldServerWakeAt) {
+	if next.IsZero() || g.wakeAt.After(now) && !next.Before(g.wakeAt) {
 		return
 	}
-	g.coldServerWakeAt = next
+	g.wakeAt = next
 	time.AfterFunc(next.Sub(now), func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -203,6 +203,25 @@
 	})
 }
 
+// nextRequestAt returns the time from which a server that is cold or resting may receive
+// its next request. It returns the zero time for other servers, and for a cold server to
+// which this host may send none.
+func (s *Server) nextRequestAt(now time.Time) time.Time {
+	if !s.isInRotation() {
+		return time.Time{}
+	}
+	if !s.isCold(now) {
+		return s.restUntil
+	}
+	if s.coldShare() == 0 {
+		return time.Time{}
+	}
+	if at := s.cold.nextSendAt(); at.After(s.restUntil) {
+		return at
+	}
+	return s.restUntil
+}
+
 // SetColdLimits sets the limits on requests to cold servers, by service.
 func (f *Fleet) SetColdLimits(limits map[string]ColdLimit) {
 	f.mu.Lock()
--- a/internal/routing/fleet/dump.go
+++ b/internal/routing/fleet/dump.go
@@ -28,6 +28,10 @@
 	// the server is still considered cold, in milliseconds.
 	ColdShare int     `json:"cold_share"`
 	ColdMs    float64 `json:"cold_ms"`
+	// IsLeaving means that the server has stated that it leaves. RestMs is the time for
+	// which it wants no further requests of this host, in milliseconds.
+	IsLeaving bool    `json:"leaving"`
+	RestMs    float64 `json:"rest_ms"`
 }
 
 // Dump returns the state of all servers, ordered by service and ID.
@@ -59,6 +63,7 @@
 			ServiceMs: inMilliseconds(s.averageServiceTime), RoundTripMs: inMilliseconds(s.roundTrip),
 			SilenceMs: inMilliseconds(s.silence(now)), FailureRate: s.failureRate * s.decay(now, failureHalfLife),
 			Sequence: s.entry().Sequence, ExtraSendsLeft: g.extraSends.Tokens(), RequestsWaiting: len(g.waiters), Limit: min(s.concurrencyLimit, float64(s.maxInFlight())),
+			IsLeaving: s.isLeaving, RestMs: inMilliseconds(max(s.restUntil.Sub(now), 0)),
 		}
 		if s.isCold(now) {
 			x.ColdShare, x.ColdMs = s.coldShare(), inMilliseconds(s.coldUntil().Sub(now))
@@ -68,6 +73,20 @@
 	return list
 }
 
+// NoticeCounts returns the number of servers that have stated that they leave, and of
+// those that want no requests of this host at the moment.
+func (f *Fleet) NoticeCounts(now time.Time) (leaving, resting int) {
+	for _, s := range f.Dump(now) {
+		if s.IsLeaving {
+			leaving++
+		}
+		if s.RestMs > 0 {
+			resting++
+		}
+	}
+	return leaving, resting
+}
+
 // Waiting returns the number of requests that wait for a server of any service.
 func (f *Fleet) Waiting() int {
 	f.mu.RLock()
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -83,9 +83,10 @@
 	servers            []*Server
 	typicalServiceTime time.Duration
 	waiters            []*waiter
-	// coldServerWakeAt is the earliest time at which a cold server may receive its next
+	notices            notices
+	// wakeAt is the earliest time at which a cold or resting server may receive its next
 	// request. A timer then assigns servers to the waiters again.
-	coldServerWakeAt time.Time
+	wakeAt time.Time
 }
 
 func newGroup(service string) *Group {
@@ -111,6 +112,7 @@
 	now := time.Now()
 	for _, s := range servers {
 		s.setEvacuated(evacuated[s.entry().DataCentre], now)
+		g.notices.apply(s)
 	}
 	g.servers = servers
 	g.serveWaiters(now)
@@ -156,7 +158,7 @@
 			return s, false
 		}
 	}
-	return nil, g.hasServer(filter, now) && g.expectedLatency(rank, now) <= maxWait
+	return nil, g.hasServer(filter, now, now.Add(maxWait)) && g.expectedLatency(rank, now) <= maxWait
 }
 
 // Pick returns the server with the least expected cost among those that match filter and
@@ -180,7 +182,8 @@
 	offset := randomOffset(n)
 	for i := range n {
 		s := g.servers[(offset+i)%n]
-		if !g.matches(s, filter) || !s.isUsable(now, g.typicalServiceTime) || s.inFlight >= s.inFlightLimit(now, g.typicalServiceTime) || !s.hasColdQuota(now) {
+		if !g.matches(s, filter) || !s.isUsable(now, g.typicalServiceTime) || s.isResting(now) ||
+			s.inFlight >= s.inFlightLimit(now, g.typicalServiceTime) || !s.hasColdQuota(now) {
 			continue
 		}
 		if cost := s.expectedCost(now, g.typicalServiceTime); best == nil || cost < bestCost {
@@ -208,18 +211,12 @@
 	return filter.AllowsRegion == nil || filter.AllowsRegion(s.entry().Region)
 }
 
-// HasServer reports whether filter matches a server that can receive requests now or once
-// it has free capacity. Servers that are draining, evacuated, removed or considered down
-// do not count.
-func (g *Group) HasServer(filter Filter) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.hasServer(filter, time.Now())
-}
-
-func (g *Group) hasServer(filter Filter, now time.Time) bool {
+// hasServer reports whether filter matches a server that can receive requests now or,
+// before until, once it has free capacity. Servers that are draining, leaving, evacuated,
+// removed or considered down do not count. The caller holds mu.
+func (g *Group) hasServer(filter Filter, now, until time.Time) bool {
 	return slices.ContainsFunc(g.servers, func(s *Server) bool {
-		return g.matches(s, filter) && s.isUsable(now, g.typicalServiceTime)
+		return g.matches(s, filter) && s.isUsable(now, g.typicalServiceTime) && (!s.isResting(now) || s.restUntil.Before(until))
 	})
 }
 
--- a/internal/routing/fleet/queue.go
+++ b/internal/routing/fleet/queue.go
@@ -45,6 +45,8 @@
 type waiter struct {
 	rank   Rank
 	filter Filter
+	// until is the time by which the request must get a server to be answered in time.
+	until  time.Time
 	server chan *Server
 }
 
@@ -63,9 +65,9 @@
 		g.mu.Unlock()
 		return s
 	}
-	w := &waiter{rank: rank, filter: filter, server: make(chan *Server, 1)}
+	w := &waiter{rank: rank, filter: filter, until: now.Add(maxWait), server: make(chan *Server, 1)}
 	g.waiters = append(g.waiters, w)
-	g.scheduleWakeForColdServer(now)
+	g.scheduleWake(now)
 	g.mu.Unlock()
 	select {
 	case s := <-w.server:
@@ -94,24 +96,47 @@
 	return nil
 }
 
+// capacity is the rate at which some servers together answer requests, with the shortest
+// latency of one of them.
+type capacity struct {
+	perSecond  float64
+	minLatency time.Duration
+}
+
+// add adds a server that answers requests at a rate, each after latency.
+func (c *capacity) add(perSecond float64, latency time.Duration) {
+	if c.perSecond == 0 || latency < c.minLatency {
+		c.minLatency = latency
+	}
+	c.perSecond += perSecond
+}
+
 // expectedLatency returns the time after which a request of the given rank can expect
 // its answer if it starts to wait for a server now. This is the time in which all
 // servers together answer the waiting requests ahead of it and the request itself, plus
-// the shortest round trip and service time of a server. The caller holds mu.
+// the shortest round trip and service time of a server. Servers that are resting count
+// only if all of them are, with the rest as part of their latency. The caller holds mu.
 func (g *Group) expectedLatency(rank Rank, now time.Time) time.Duration {
-	perSecond, minLatency := 0.0, time.Duration(math.MaxInt64)
+	var active, resting capacity
 	for _, s := range g.servers {
-		if s.isInRotation() && !s.isDown(now, g.typicalServiceTime) {
-			latency := s.roundTrip + s.serviceTime(now, g.typicalServiceTime)
-			rate := min(s.concurrencyLimit, float64(s.maxInFlight())) / latency.Seconds()
-			if s.isCold(now) {
-				rate = min(rate, float64(s.coldShare())/coldWindow.Seconds())
-			}
-			perSecond += rate
-			minLatency = min(minLatency, latency)
+		if !s.isInRotation() || s.isDown(now, g.typicalServiceTime) {
+			continue
+		}
+		latency := s.roundTrip + s.serviceTime(now, g.typicalServiceTime)
+		rate := min(s.concurrencyLimit, float64(s.maxInFlight())) / latency.Seconds()
+		if s.isCold(now) {
+			rate = min(rate, float64(s.coldShare())/coldWindow.Seconds())
+		}
+		if s.isResting(now) {
+			resting.add(rate, s.restUntil.Sub(now)+latency)
+		} else {
+			active.add(rate, latency)
 		}
 	}
-	if perSecond == 0 {
+	if active.perSecond == 0 {
+		active = resting
+	}
+	if active.perSecond == 0 {
 		return math.MaxInt64
 	}
 	ahead := 1
@@ -120,11 +145,12 @@
 			ahead++
 		}
 	}
-	return minLatency + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+	return active.minLatency + time.Duration(float64(ahead)/active.perSecond*float64(time.Second))
 }
 
 // serveWaiters assigns servers with free capacity to the waiters in the order of their
-// ranks. A waiter gets nil if its filter matches no usable server. The caller holds mu.
+// ranks. A waiter gets nil if its filter matches no usable server, or only servers that
+// accept requests too late for it. The caller holds mu.
 func (g *Group) serveWaiters(now time.Time) {
 	if len(g.waiters) == 0 {
 		return
@@ -136,7 +162,7 @@
 			w.server <- s
 			continue
 		}
-		if !g.hasServer(w.filter, now) {
+		if !g.hasServer(w.filter, now, w.until) {
 			w.server <- nil
 			continue
 		}
@@ -144,7 +170,7 @@
 	}
 	clear(g.waiters[len(remaining):])
 	g.waiters = remaining
-	g.scheduleWakeForColdServer(now)
+	g.scheduleWake(now)
 }
 
 // Waiting returns the number of requests that wait for a server of the group.
@@ -160,11 +186,16 @@
 const maxRetryAfter = 300 * time.Millisecond
 
 // RetryAfter returns the time after which a request that is refused now can expect free
-// capacity.
-func (g *Group) RetryAfter(now time.Time, filter Filter) time.Duration {
+// capacity. If all servers want no requests for a time, this is the end of that time,
+// provided that it is before the request's deadline, which is left from now.
+func (g *Group) RetryAfter(now time.Time, filter Filter, left time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.hasServer(filter, now) {
+	rest, found := g.shortestRest(filter, now)
+	switch {
+	case found && rest > 0 && rest < left:
+		return rest
+	case !found || rest > 0:
 		return maxRetryAfter
 	}
 	return min(g.expectedLatency(Rank{Priority: math.MaxInt}, now), maxRetryAfter)
--- a/internal/routing/fleet/queue_test.go
+++ b/internal/routing/fleet/queue_test.go
@@ -118,7 +118,7 @@
 			t.Fatalf("picked server %s outside the allowed region", s.ID())
 		}
 	}
-	if g.HasServer(Filter{AllowsRegion: func(string) bool { return false }}) {
+	if g.hasServer(Filter{AllowsRegion: func(string) bool { return false }}, time.Now(), time.Now()) {
 		t.Fatal("found a server although no region is allowed")
 	}
 }
--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -115,6 +115,9 @@
 	preferenceCost time.Duration
 	evacuated      bool
 	removed        bool
+	// isLeaving and restUntil are what the server stated in its answers; see Notice.
+	isLeaving bool
+	restUntil time.Time
 	// isConnected is the function of the same name in Fleet.
 	isConnected func(address string) bool
 
@@ -186,8 +189,11 @@
 }
 
 // isInRotation reports whether the server is one of the current servers of its service,
-// is not draining and is not evacuated. Other servers receive no new requests.
-func (s *Server) isInRotation() bool { return !s.entry().Draining && !s.evacuated && !s.removed }
+// is not draining, has not stated that it leaves and is not evacuated. Other servers
+// receive no new requests.
+func (s *Server) isInRotation() bool {
+	return !s.entry().Draining && !s.isLeaving && !s.evacuated && !s.removed
+}
 
 // setEvacuated records whether operators have evacuated the server's data centre. At the
 // end of an evacuation the server is assumed to be cold, because it received no requests
--- a/internal/serving/engine/denial_enumer.go
+++ b/internal/serving/engine/denial_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DenialName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budget"
+const _DenialName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budgetno_server"
 
-var _DenialIndex = [...]uint8{0, 10, 24, 35, 42, 49, 58}
+var _DenialIndex = [...]uint8{0, 10, 24, 35, 42, 49, 58, 67}
 
-const _DenialLowerName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budget"
+const _DenialLowerName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budgetno_server"
 
 func (i Denial) String() string {
 	if i < 0 || i >= Denial(len(_DenialIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[NoTime-(3)]
 	_ = x[NoRoom-(4)]
 	_ = x[NoBudget-(5)]
+	_ = x[NoServer-(6)]
 }
 
-var _DenialValues = []Denial{NotDenied, NotIdempotent, NoAttempts, NoTime, NoRoom, NoBudget}
+var _DenialValues = []Denial{NotDenied, NotIdempotent, NoAttempts, NoTime, NoRoom, NoBudget, NoServer}
 
 var _DenialNameToValueMap = map[string]Denial{
 	_DenialName[0:10]:  NotDenied,
@@ -41,6 +42,7 @@
 	_DenialName[35:42]: NoTime,
 	_DenialName[42:49]: NoRoom,
 	_DenialName[49:58]: NoBudget,
+	_DenialName[58:67]: NoServer,
 }
 
 var _DenialLowerNameToValueMap = map[string]Denial{
@@ -50,6 +52,7 @@
 	_DenialLowerName[35:42]: NoTime,
 	_DenialLowerName[42:49]: NoRoom,
 	_DenialLowerName[49:58]: NoBudget,
+	_DenialLowerName[58:67]: NoServer,
 }
 
 var _DenialNames = []string{
@@ -59,6 +62,7 @@
 	_DenialName[35:42],
 	_DenialName[42:49],
 	_DenialName[49:58],
+	_DenialName[58:67],
 }
 
 // DenialString retrieves an enum value from the enum constants string name.
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -59,6 +59,8 @@
 	Header    http.Header
 	Body      []byte
 	Signature string
+	// Notice is what the server stated about the requests that it wants.
+	Notice fleet.Notice
 	// Err is the reason why the server gave no answer.
 	Err error
 }
--- a/internal/serving/engine/forward.go
+++ b/internal/serving/engine/forward.go
@@ -50,7 +50,7 @@
 		answer.Reply = r
 	case !r.mayHaveRun():
 		answer.Fault = fault.Wrap(fault.Overloaded, fault.NotRun, r.Err, "no server of %s accepted the request, no extra send: %s", service, collector.denied)
-		answer.RetryAfter = minRetryAfter
+		answer.RetryAfter = run.refusedRetryAfter()
 	case r.Outcome == fleet.TimedOut:
 		answer.Fault = fault.Wrap(fault.DeadlineExceeded, fault.Unknown, r.Err, "no reply from %s in time", service)
 	default:
--- a/internal/serving/engine/gather.go
+++ b/internal/serving/engine/gather.go
@@ -102,7 +102,7 @@
 	outcome := fault.Unknown
 	var retryAfter time.Duration
 	if !mayHaveRun {
-		outcome, retryAfter = fault.NotRun, minRetryAfter
+		outcome, retryAfter = fault.NotRun, run.refusedRetryAfter()
 	}
 	return &Answer{
 		Fault: fault.New(kind, outcome, "%d of %d shards answered, %d required, lost: %s",
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -244,14 +244,28 @@
 	var overloaded []string
 	for i := range r.subrequests {
 		if sub := &r.subrequests[i]; sub.reserved == nil && !sub.mayWait {
-			retryAfter = max(retryAfter, sub.group.RetryAfter(r.start, r.serverFilter(sub)))
+			retryAfter = max(retryAfter, sub.group.RetryAfter(r.start, r.serverFilter(sub), r.req.Deadline.Sub(r.start)))
 			overloaded = append(overloaded, sub.group.Service())
 		}
 	}
-	// Clients that are told the same time would retry together. The random addition
-	// spreads their retries over a further period of the same length.
-	retryAfter += time.Duration(rand.Float64() * float64(retryAfter))
-	return refusalAnswer(fault.Overloaded, retryAfter, "no capacity in time at %s; %d of %d services required", strings.Join(overloaded, " "), required, len(r.subrequests))
+	return refusalAnswer(fault.Overloaded, spread(retryAfter), "no capacity in time at %s; %d of %d services required", strings.Join(overloaded, " "), required, len(r.subrequests))
+}
+
+// spread returns a random time between d and twice d. Clients that are told the same time
+// would retry together.
+func spread(d time.Duration) time.Duration { return d + time.Duration(rand.Float64()*float64(d)) }
+
+// refusedRetryAfter returns the time after which a client whose request every server
+// refused should retry: not before one of the servers wants requests again.
+func (r *run) refusedRetryAfter() time.Duration {
+	now, retryAfter := time.Now(), minRetryAfter
+	for i := range r.subrequests {
+		if sub := &r.subrequests[i]; sub.bestReply != nil && sub.bestReply.Notice.RestTime > 0 {
+			anyServer := fleet.Filter{AllowsRegion: r.req.Route.AllowsRegion}
+			retryAfter = max(retryAfter, sub.group.RetryAfter(now, anyServer, r.req.Deadline.Sub(now)))
+		}
+	}
+	return retryAfter
 }
 
 // startSubrequest sends the request to the reserved server. If no server is reserved,
@@ -368,8 +382,12 @@
 		return d
 	}
 	server := sub.group.Pick(now, r.serverFilter(sub))
-	if server == nil {
+	switch {
+	case server != nil:
+	case sub.group.CanServeBy(r.serverFilter(sub), r.start.Add(r.maxWait())):
 		return NoRoom
+	default:
+		return NoServer
 	}
 	if !skipsBudget && !sub.group.WithdrawExtraSend() {
 		sub.group.ReleaseUnused(server)
--- a/internal/serving/engine/send.go
+++ b/internal/serving/engine/send.go
@@ -25,6 +25,7 @@
 		reply := r.engine.sender.Send(r.sendCtx, server, r.req)
 		now := time.Now()
 		outcome := outcomeOf(r.sendCtx, reply)
+		sub.group.ObserveNotice(server, reply.Notice, now)
 		sub.group.Done(server, outcome, now.Sub(start), now)
 		if outcome == fleet.Answered || outcome == fleet.TimedOut {
 			maxServerTime := time.Duration(serverTimeShare * float64(r.req.Route.Objective))
--- a/internal/serving/engine/subrequest.go
+++ b/internal/serving/engine/subrequest.go
@@ -27,10 +27,13 @@
 	NoTime
 	NoRoom
 	NoBudget
+	// NoServer means that every server of the service has been tried, leaves, or wants no
+	// requests until it is too late for an answer in time.
+	NoServer
 )
 
 // denialCount is the number of Denial values, including NotDenied.
-const denialCount = int(NoBudget) + 1
+const denialCount = int(NoServer) + 1
 
 //go:generate ../../../.bin/enumer -type=Denial -transform=snake -output=denial_enumer.go
 
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -136,6 +136,14 @@
 	s := m.sources
 	m.registerGauge("requests_waiting", "Requests that wait for room at a server.", func() float64 { return float64(s.Fleet.Waiting()) })
 	m.registerGauge("servers_believed", "Servers that this host believes in.", func() float64 { return float64(s.Fleet.Size()) })
+	m.registerGauge("servers_leaving", "Servers that have stated in an answer that they leave.", func() float64 {
+		leaving, _ := s.Fleet.NoticeCounts(time.Now())
+		return float64(leaving)
+	})
+	m.registerGauge("servers_resting", "Servers that want no requests of this host at the moment (Retry-After).", func() float64 {
+		_, resting := s.Fleet.NoticeCounts(time.Now())
+		return float64(resting)
+	})
 	m.registerGauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
 	m.registerGauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
 	m.registerGauge("store_silence_seconds", "Time since the store last answered.", func() float64 { return s.StoreAge().Seconds() })
--- a/tests/standin/shardserver/shardserver.go
+++ b/tests/standin/shardserver/shardserver.go
@@ -15,6 +15,7 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -67,11 +68,17 @@
 	// runs is the number of executions of each request, by its Request-Id and URI.
 	runs         map[string]int
 	lateArrivals int
+	isLeaving    bool
+	restTime     time.Duration
+	// unwantedSince and unwantedUntil are, by the address of a host, the period in which
+	// the server wants no requests of the host, as it stated in an answer.
+	unwantedSince, unwantedUntil map[string]time.Time
+	unwantedArrivals             int
 }
 
 // New returns a Server with the instance ID id and without faults.
 func New(id string) *Server {
-	return &Server{id: id, slots: make(chan struct{}, slotCount), runs: map[string]int{}}
+	return &Server{id: id, slots: make(chan struct{}, slotCount), runs: map[string]int{}, unwantedSince: map[string]time.Time{}, unwantedUntil: map[string]time.Time{}}
 }
 
 // SetFault applies a failure mode to a share of the requests from now on. The share is
@@ -90,6 +97,78 @@
 	s.drainingSince = at
 }
 
+// Leave makes the server state in all further answers that it leaves.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isLeaving = true
+}
+
+// SetRestTime makes the server state in its refusals that it wants no further requests of
+// the host for the time d.
+func (s *Server) SetRestTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restTime = d
+}
+
+// UnwantedArrivals returns the number of requests that reached the server from a host more
+// than noticeSlack after the server had stated to the host that it leaves, or had asked the
+// host for no requests, and before the end of that time.
+func (s *Server) UnwantedArrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unwantedArrivals
+}
+
+const (
+	// noticeSlack is the time after a notice within which requests may still arrive.
+	noticeSlack = 500 * time.Millisecond
+	// leavingTime is longer than any test. A server that leaves wants no requests again.
+	leavingTime = 24 * time.Hour
+)
+
+// recordUnwanted counts a request of a host at the given address if the server stated
+// before that it does not want the request.
+func (s *Server) recordUnwanted(address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since, ok := s.unwantedSince[host]; ok && now.After(since.Add(noticeSlack)) && now.Before(s.unwantedUntil[host]) {
+		s.unwantedArrivals++
+	}
+}
+
+// state adds to an answer what the server states about the requests that it wants.
+func (s *Server) state(w http.ResponseWriter, address string, isRefusal bool) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := time.Duration(0)
+	if s.isLeaving {
+		w.Header().Set("Server-Leaving", "1")
+		d = leavingTime
+	}
+	if isRefusal && s.restTime > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(s.restTime.Seconds(), 'f', -1, 64))
+		d = max(d, s.restTime)
+	}
+	if d > 0 && now.Add(d).After(s.unwantedUntil[host]) {
+		if !now.Before(s.unwantedUntil[host]) {
+			s.unwantedSince[host] = now
+		}
+		s.unwantedUntil[host] = now.Add(d)
+	}
+}
+
 // Runs returns the number of executions of each request. The key is the request's
 // Request-Id, a space and its URI.
 func (s *Server) Runs() map[string]int {
@@ -142,7 +221,9 @@
 	}
 	w.Header().Set("Request-Id", id)
 	fault := s.recordArrival()
+	s.recordUnwanted(r.RemoteAddr)
 	if fault == Shed || !s.acquireSlot(r) {
+		s.state(w, r.RemoteAddr, true)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -192,6 +273,7 @@
 		s.sendTwice(w, id, text)
 		return
 	}
+	s.state(w, r.RemoteAddr, false)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if _, err := w.Write(text); err != nil {
 		return
