Bound the heads and bodies of servers' responses

Cause: http.ReadResponse has no bound for a head: a head, status line, trailer or row of 1xx responses without end took all memory until the deadline. A chunked body without end was not even cut off at the body's limit: Body.Close reads the rest of it. Bodies of up to 16 MiB each had no bound together. Ruled out: a parser of our own. Past a bound the connection closes and the request may have run. A Keep-Alive timeout too large for a duration no longer makes a connection expire.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,6 +33,7 @@
 	address  string
 	nc       net.Conn
 	r        *bufio.Reader
+	head     *headReader
 	lastUsed time.Time
 	// idleTimeout is the time for which the connection may be idle before it is closed.
 	idleTimeout time.Duration
@@ -44,7 +44,8 @@
 }
 
 func newConn(address string, nc net.Conn) *conn {
-	return &conn{address: address, nc: nc, r: bufio.NewReaderSize(nc, readBufferSize), lastUsed: time.Now(), idleTimeout: defaultIdleTimeout}
+	head := &headReader{nc: nc}
+	return &conn{address: address, nc: nc, head: head, r: bufio.NewReaderSize(head, readBufferSize), lastUsed: time.Now(), idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) isExpired(now time.Time) bool { return now.Sub(c.lastUsed) > c.idleTimeout }
@@ -82,14 +83,14 @@
 
 // exchange writes a request and reads its response. It also reports whether the
 // connection may be reused.
-func (c *conn) exchange(ctx context.Context, call *Call, opts Options) (*Reply, bool, error) {
+func (c *conn) exchange(ctx context.Context, call *Call, opts Options, m *memory) (*Reply, bool, error) {
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
 	written, err := c.write(call)
 	if err != nil {
 		return nil, false, c.wrapError(ctx, "write", err)
 	}
-	reply, reusable, err := c.read(call, opts)
+	reply, reusable, err := c.read(call, opts, m)
 	if err != nil {
 		return nil, false, c.wrapError(ctx, "read", err)
 	}
@@ -162,9 +163,9 @@
 
 // read returns the response to call and reports whether the connection may be
 // reused. It skips responses that echo the ID of another request.
-func (c *conn) read(call *Call, opts Options) (*Reply, bool, error) {
+func (c *conn) read(call *Call, opts Options, m *memory) (*Reply, bool, error) {
 	for skipped := 0; ; skipped++ {
-		reply, reusable, err := c.readFinalResponse(call, opts.MaxBody)
+		reply, reusable, err := c.readFinalResponse(call, opts.MaxBody, m)
 		if err != nil {
 			return nil, false, err
 		}
@@ -181,13 +182,13 @@
 // readFinalResponse reads the next final response, that is, one without a 1xx status,
 // whichever request it belongs to. It also reports whether the connection may be
 // reused.
-func (c *conn) readFinalResponse(call *Call, maxBody int64) (*Reply, bool, error) {
-	resp, err := c.readHead(call)
+func (c *conn) readFinalResponse(call *Call, maxBody int64, m *memory) (*Reply, bool, error) {
+	// The body is not closed: Close would read the rest of it, which may have no end.
+	resp, err := c.readHead(call) //nolint:bodyclose // The connection is closed unless the body was read whole.
 	if err != nil {
 		return nil, false, err
 	}
-	defer resp.Body.Close()
-	body, err := readBody(resp, maxBody)
+	body, err := readBody(resp, maxBody, m)
 	if err != nil {
 		return nil, false, err
 	}
@@ -197,29 +198,6 @@
 	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 }
 
-// readBody reads the whole body of a response. It fails if the body has more than maxBody
-// bytes.
-func readBody(resp *http.Response, maxBody int64) ([]byte, error) {
-	const tooLarge = protocolError("response body exceeds the size limit")
-	switch n := resp.ContentLength; {
-	case resp.Body == http.NoBody:
-		// A response without a body, such as a response to HEAD, may still have a
-		// Content-Length.
-		return nil, nil
-	case n > maxBody:
-		return nil, tooLarge
-	case n >= 0 && n <= maxPreallocatedBody:
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if int64(len(body)) > maxBody {
-		return nil, tooLarge
-	}
-	return body, err
-}
-
 // defaultRequest and headRequest tell http.ReadResponse whether a response belongs to a
 // HEAD request and so has no body. Only their method matters.
 var (
@@ -228,12 +206,14 @@
 )
 
 // readHead reads the head of the next final response. It discards responses with a 1xx
-// status.
+// status. All these heads together have at most maxHeadBytes.
 func (c *conn) readHead(call *Call) (*http.Response, error) {
 	req := defaultRequest
 	if call.Method == http.MethodHead {
 		req = headRequest
 	}
+	c.head.beginHead()
+	defer c.head.endHead()
 	for {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
@@ -258,7 +238,7 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 && seconds < int(c.idleTimeout/time.Second)+1 {
 			c.idleTimeout = min(c.idleTimeout, time.Duration(seconds)*time.Second-idleTimeoutMargin)
 		}
 	}
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -134,4 +134,8 @@
 	OnConnect func(address string, took time.Duration)
 	// MaxBody is the maximum size of a response body in bytes; 0 means 16 MiB.
 	MaxBody int64
+	// MaxBodies is the maximum memory in bytes for the response bodies that are being read
+	// at the same time, except for those of up to 64 KiB; 0 means no limit. A response
+	// that exceeds it fails, and the server may have executed its request.
+	MaxBodies int64
 }
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -37,7 +37,8 @@
 
 // Pool keeps open connections to servers for reuse. It is safe for concurrent use.
 type Pool struct {
-	opts Options
+	opts   Options
+	memory memory
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
@@ -55,7 +56,7 @@
 			return tcp.Dialer().DialContext(ctx, "tcp4", address)
 		}
 	}
-	return &Pool{opts: opts, idle: map[string][]*conn{}}
+	return &Pool{opts: opts, memory: memory{limit: opts.MaxBodies}, idle: map[string][]*conn{}}
 }
 
 // Exchange sends a request to the server at address and reads the complete response.
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, unsentError("connect", err)
 	}
-	reply, reusable, err := c.exchange(ctx, call, p.opts)
+	reply, reusable, err := c.exchange(ctx, call, p.opts, &p.memory)
 	if err != nil || !reusable {
 		p.discard(c)
 		return reply, err
@@ -164,6 +165,10 @@
 	return p.openCount
 }
 
+// RejectedBodies returns the number of response bodies that were cut off because of
+// Options.MaxBodies.
+func (p *Pool) RejectedBodies() int64 { return p.memory.rejected.Load() }
+
 // Prune closes the idle connections whose idle timeout has expired at now, and surplus
 // idle connections after surplusIdleTimeout. The owner of the pool calls it about once
 // a second.
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -45,6 +45,9 @@
 	LogWriter *logwriter.Writer
 	// Connections returns the number of open connections to servers.
 	Connections func() int
+	// RejectedBodies returns the number of response bodies that were cut off because all
+	// bodies together exceeded the memory for them.
+	RejectedBodies func() int64
 	// ConfigVersion returns the version of the configuration in force, or 0 if there is
 	// none.
 	ConfigVersion func() int64
@@ -145,6 +148,7 @@
 		return float64(resting)
 	})
 	m.registerGauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
+	m.registerCounter("server_bodies_cut_total", "Bodies of servers that were cut off because all bodies together exceeded the memory for them.", "", "", func() float64 { return float64(s.RejectedBodies()) })
 	m.registerGauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
 	m.registerGauge("store_silence_seconds", "Time since the store last answered.", func() float64 { return s.StoreAge().Seconds() })
 	m.registerGauge("follows_store", "1 if this host follows the store itself, 0 if it learns of changes from another host.", func() float64 {
