--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -48,6 +48,9 @@
 	// RejectedBodies returns the number of response bodies that were cut off because all
 	// bodies together exceeded the memory for them.
 	RejectedBodies func() int64
+	// UnreadableEntries returns the number of entries in answers of the store that could
+	// not be read.
+	UnreadableEntries func() int64
 	// ConfigVersion returns the version of the configuration in force, or 0 if there is
 	// none.
 	ConfigVersion func() int64
@@ -149,6 +152,7 @@
 	})
 	m.registerGauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
 	m.registerCounter("server_bodies_cut_total", "Bodies of servers that were cut off because all bodies together exceeded the memory for them.", "", "", func() float64 { return float64(s.RejectedBodies()) })
+	m.registerCounter("store_entries_unreadable_total", "Entries in answers of the store that could not be read.", "", "", func() float64 { return float64(s.UnreadableEntries()) })
 	m.registerGauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
 	m.registerGauge("store_silence_seconds", "Time since the store last answered.", func() float64 { return s.StoreAge().Seconds() })
 	m.registerGauge("follows_store", "1 if this host follows the store itself, 0 if it learns of changes from another host.", func() float64 {
--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -11,6 +11,7 @@
 package metadata
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -81,6 +82,8 @@
 	fault        Fault
 	calls        int
 	staleCalls   int
+	// rawSpecs are the texts that answers hold in place of placeholder specs; see PutRaw.
+	rawSpecs []string
 	// refusedIPs holds the IP addresses of the hosts whose calls the store refuses.
 	refusedIPs map[string]bool
 }
@@ -109,6 +112,19 @@
 	s.recordChange(change{kind: kind, Object: o})
 }
 
+// PutRaw is like Put, but the answers of the store hold the text raw as the spec of the
+// object, whatever it is: for instance a text that is no JSON.
+func (s *Store) PutRaw(kind, name, raw string) {
+	s.mu.Lock()
+	n := len(s.rawSpecs)
+	s.rawSpecs = append(s.rawSpecs, raw)
+	s.mu.Unlock()
+	s.Put(kind, name, rawPlaceholder(n))
+}
+
+// rawPlaceholder returns the text that stands for the n-th raw spec in encoded answers.
+func rawPlaceholder(n int) string { return "raw-spec-" + strconv.Itoa(n) + "-" }
+
 // Delete increments the revision, removes an object and notifies the watches. It does
 // nothing if the object does not exist.
 func (s *Store) Delete(kind, name string) {
@@ -264,7 +280,7 @@
 	case !exists || string(old.Spec) != string(body.Spec):
 		s.Put(kind, name, body.Spec)
 	}
-	writeJSON(w, body)
+	writeJSON(w, nil, body)
 }
 
 // list answers with the first page of the objects of a kind whose names sort behind
@@ -284,7 +300,7 @@
 	for _, name := range names[:min(len(names), pageSize)] {
 		items = append(items, s.objects[kind][name])
 	}
-	writeJSON(w, struct {
+	writeJSON(w, s.rawSpecs, struct {
 		Items    []object `json:"items"`
 		More     bool     `json:"has_more"`
 		Revision int64    `json:"store_revision"`
@@ -304,6 +320,7 @@
 	defer deadline.Stop()
 	for {
 		events, revision, gone, fault, changed := s.changesSince(kind, from)
+		rawSpecs := s.currentRawSpecs()
 		switch {
 		case fault == Down || fault == ClosedWatches || s.isCallerRefused(r):
 			panic(http.ErrAbortHandler)
@@ -321,7 +338,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
-			writeJSON(w, struct {
+			writeJSON(w, rawSpecs, struct {
 				Events   []change `json:"events"`
 				Revision int64    `json:"store_revision"`
 			}{events, revision})
@@ -332,7 +349,7 @@
 		case <-r.Context().Done():
 			return
 		case <-deadline.C():
-			writeJSON(w, struct {
+			writeJSON(w, rawSpecs, struct {
 				Events   []change `json:"events"`
 				Revision int64    `json:"store_revision"`
 			}{[]change{}, revision})
@@ -355,9 +372,24 @@
 	return events, s.revision, from < s.historyStart, s.fault, s.changed
 }
 
-func writeJSON(w http.ResponseWriter, body any) {
+// currentRawSpecs returns the raw specs that have been put so far.
+func (s *Store) currentRawSpecs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rawSpecs
+}
+
+// writeJSON writes an answer, with the raw specs in place of their placeholders.
+func writeJSON(w http.ResponseWriter, rawSpecs []string, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	for n, raw := range rawSpecs {
+		text = bytes.ReplaceAll(text, []byte(strconv.Quote(rawPlaceholder(n))), []byte(raw))
+	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(body); err != nil {
+	if _, err := w.Write(text); err != nil {
 		// The caller has closed the connection.
 		return
 	}
