Hosts that start read from each other and list one after the other

Cause: after a power loss all hosts list three kinds at once. Ruled out: fewer bytes by stale lists (a server that has left would be in use again); starting from the platform's seeds (other data centres, maybe stale).

--- a/internal/store/source/source.go
+++ b/internal/store/source/source.go
@@ -160,6 +160,21 @@
 	}
 }
 
+const (
+	// firstListStep is the part of FirstListDelay for each host of a higher rank.
+	firstListStep = 8 * time.Millisecond
+	// maxFirstListDelay is the maximum of FirstListDelay. It is short compared with the
+	// time in which all hosts of a large system can list the store's objects.
+	maxFirstListDelay = 250 * time.Millisecond
+)
+
+// FirstListDelay returns the time for which a host that has just started waits for another
+// host's content before it lists the store's objects, once the hosts are known. The host
+// that ranks first lists at once.
+func FirstListDelay(higherRanked int) time.Duration {
+	return min(time.Duration(higherRanked)*firstListStep, maxFirstListDelay)
+}
+
 // maxFollowSteps is the maximum delay that FollowDelay returns, in multiples of the step.
 const maxFollowSteps = 3
 
