Burst of extra sends within the slack of the deployment

Cause: each host may make 3 extra sends at once for a service, whatever the number of hosts. Change: the burst is the slack (bounds.budget_slack) divided by the hosts, 1 at least and 3 at most as before.

--- a/internal/routing/fleet/cold.go
+++ b/internal/routing/fleet/cold.go
@@ -230,10 +230,14 @@
 	f.applyColdServerPolicies()
 }
 
-// SetPeers sets the hosts that share the limits on requests to cold servers.
+// SetPeers sets the hosts that share the limits on requests to cold servers and on extra
+// sends.
 func (f *Fleet) SetPeers(peers []Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(peers) != len(f.peers) {
+		defer f.applyExtraSendBurst()
+	}
 	f.peers = peers
 	f.applyColdServerPolicies()
 }
--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -89,6 +89,9 @@
 	// each limit.
 	coldLimits map[string]ColdLimit
 	peers      []Peer
+	// extraSendSlack is the number of extra sends that the hosts together may make for a
+	// service beyond a share of its requests; 0 if it is not known.
+	extraSendSlack float64
 }
 
 // New returns an empty Fleet for the host at locality.
@@ -108,6 +111,24 @@
 	f.isConnected = isConnected
 }
 
+// SetExtraSendSlack sets the number of extra sends that all hosts together may make for a
+// service beyond a share of its requests. The peers share it.
+func (f *Fleet) SetExtraSendSlack(slack float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.extraSendSlack = slack
+	f.applyExtraSendBurst()
+}
+
+// applyExtraSendBurst passes this host's part of the slack on to all groups. The caller
+// holds mu.
+func (f *Fleet) applyExtraSendBurst() {
+	burst := extraSendBurstOf(f.extraSendSlack, len(f.peers))
+	for _, g := range f.groups {
+		g.extraSends.SetBurst(burst)
+	}
+}
+
 // Group returns the Group of a service. It never returns nil: the Group of an unknown
 // service has no servers.
 func (f *Fleet) Group(service string) *Group {
@@ -127,6 +148,7 @@
 	g := f.groups[service]
 	if g == nil {
 		g = newGroup(service)
+		g.extraSends.SetBurst(extraSendBurstOf(f.extraSendSlack, len(f.peers)))
 		f.groups[service] = g
 	}
 	return g
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -53,10 +53,12 @@
 	// is a margin for requests that several hosts count differently.
 	extraSendShare = 0.15
 	// extraSendBurst is the maximum number of extra sends in immediate succession,
-	// before further first sends refill the budget. The deployments allow a number of
-	// extra sends beyond a fixed share of the requests. The burst is small compared
-	// with that number, because hosts do not know of each other's extra sends.
+	// before further first sends refill the budget, on a host that does not know the
+	// limit for all hosts.
 	extraSendBurst = 3
+	// minExtraSendBurst is the least burst. A host without a whole token could make no
+	// extra send at all.
+	minExtraSendBurst = 1.0
 	// hedgeDelayFactor is the number of usual service times after which a hedge is due. A
 	// hedge is an extra send that is made while the first reply is still pending.
 	hedgeDelayFactor = 2.5
@@ -89,6 +91,16 @@
 	wakeAt time.Time
 }
 
+// extraSendBurstOf returns the burst of each of several hosts that share slack extra sends.
+// The hosts do not know of each other's extra sends, so the parts must not add up to more
+// than the slack. A slack of 0 means that it is not known.
+func extraSendBurstOf(slack float64, hosts int) float64 {
+	if slack <= 0 || hosts == 0 {
+		return extraSendBurst
+	}
+	return min(max(slack/float64(hosts), minExtraSendBurst), extraSendBurst)
+}
+
 func newGroup(service string) *Group {
 	return &Group{service: service, extraSends: budget.New(extraSendShare, extraSendBurst), typicalServiceTime: initialServiceTime}
 }
--- a/modules/budget/budget.go
+++ b/modules/budget/budget.go
@@ -22,20 +22,34 @@
 type Budget struct {
 	units        atomic.Int64
 	depositUnits int64
-	maxUnits     int64
+	maxUnits     atomic.Int64
 }
 
 // New returns a full Budget that gains share tokens for each regular request and holds
 // at most burst tokens.
 func New(share float64, burst int) *Budget {
-	b := &Budget{depositUnits: int64(share * unitsPerToken), maxUnits: int64(burst) * unitsPerToken}
-	b.units.Store(b.maxUnits)
+	b := &Budget{depositUnits: int64(share * unitsPerToken)}
+	b.maxUnits.Store(int64(burst) * unitsPerToken)
+	b.units.Store(b.maxUnits.Load())
 	return b
 }
 
+// SetBurst changes the maximum number of tokens, which need not be whole. Tokens beyond it
+// are lost.
+func (b *Budget) SetBurst(burst float64) {
+	limit := int64(burst * unitsPerToken)
+	b.maxUnits.Store(limit)
+	for {
+		v := b.units.Load()
+		if v <= limit || b.units.CompareAndSwap(v, limit) {
+			return
+		}
+	}
+}
+
 // Deposit adds the share of a token that one regular request earns.
 func (b *Budget) Deposit() {
-	if b.units.Load() >= b.maxUnits {
+	if b.units.Load() >= b.maxUnits.Load() {
 		return
 	}
 	b.units.Add(b.depositUnits)
