--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -48,6 +50,9 @@
 		{"front paused", func() { s.pauseFront(length) }},
 		{"front told to reload", func() { s.reloadFront() }},
 		{"server leaves, another comes", func() { s.replaceServer(s.rng.IntN(len(s.upstreams))) }},
+		{"server says in its answers that it leaves, another comes", func() { s.replaceByAnswer(s.rng.IntN(len(s.upstreams))) }},
+		{"server sheds and asks for a rest", func() { s.restServer(u, length) }},
+		{"odd entry", func() { s.writeOddEntry(length) }},
 	}
 	k := kinds[s.rng.IntN(len(kinds))]
 	s.report.countFault(k.name)
@@ -55,7 +60,12 @@
 }
 
 func (s *soak) failServer(u *upstream, f shardserver.Fault, length time.Duration) {
-	u.server.SetFault(f, 0.3+0.7*s.rng.Float64())
+	s.failServerWith(u, f, 0.3+0.7*s.rng.Float64(), length)
+}
+
+// failServerWith applies a failure mode to a share of the requests of a server.
+func (s *soak) failServerWith(u *upstream, f shardserver.Fault, share float64, length time.Duration) {
+	u.server.SetFault(f, share)
 	time.AfterFunc(length, func() { u.server.SetFault(shardserver.None, 0) })
 }
 
@@ -161,6 +171,39 @@
 	})
 }
 
+// replaceByAnswer starts a server in the place of another one, which says that it leaves in
+// its answers only: its entry stays until it ends.
+func (s *soak) replaceByAnswer(i int) {
+	old := s.upstreams[i]
+	old.server.Leave()
+	if err := s.addUpstream(i); err != nil {
+		s.report.fail("start server: %v", err)
+		return
+	}
+	s.report.activeFaults.Go(func() {
+		time.Sleep(drainBound + time.Second)
+		s.store.Delete("servers", old.id)
+		time.Sleep(drainBound)
+		old.http.Close()
+	})
+}
+
+// restServer makes a server refuse half of its requests and ask for no requests for up to
+// a second each time.
+func (s *soak) restServer(u *upstream, length time.Duration) {
+	u.server.SetRestTime(time.Duration(1+s.rng.IntN(1000)) * time.Millisecond)
+	s.failServerWith(u, shardserver.Shed, 0.5, length)
+}
+
+// writeOddEntry writes an entry that names no server to use, and removes it later.
+func (s *soak) writeOddEntry(length time.Duration) {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	specs := []string{deep, `{"capacity":1e999}`, `{"service":"shard0","address":"127.0.0.1:99999"}`, "nothing"}
+	name := "odd-" + strconv.Itoa(s.report.nextID())
+	s.store.PutRaw("servers", name, specs[s.rng.IntN(len(specs))])
+	time.AfterFunc(length, func() { s.store.Delete("servers", name) })
+}
+
 // clearFaults waits until the faults that run in goroutines, those of fronts and server
 // replacements, have ended. It then clears the faults of the store, the servers and their
 // links.
