Clients that are told the end of a rest come back spread over time

Cause: all clients that a resting service refused were told the same moment and would have come back together. Change: the advice is spread over twice the time, as for other refusals. Makefile: the two new fuzz targets. Tests of engine and platform pass.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,8 @@
 	go test -run '^$$' -fuzz=FuzzObjects -fuzztime=60s ./platform
 	go test -run '^$$' -fuzz=FuzzSettings -fuzztime=60s ./platform
 	go test -run '^$$' -fuzz=FuzzNews -fuzztime=60s ./platform
+	go test -run '^$$' -fuzz=FuzzPage -fuzztime=60s ./platform
+	go test -run '^$$' -fuzz=FuzzResponse -fuzztime=60s ./internal/protocol/http1
 	go test -fuzz=FuzzMessage -fuzztime=60s ./services/peer
 
 demo: ## Run a small deployment as separate processes.
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -265,6 +265,9 @@
 			retryAfter = max(retryAfter, sub.group.RetryAfter(now, anyServer, r.req.Deadline.Sub(now)))
 		}
 	}
+	if retryAfter > minRetryAfter {
+		retryAfter = spread(retryAfter)
+	}
 	return retryAfter
 }
 
