--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -223,6 +223,14 @@
 	return filter.AllowsRegion == nil || filter.AllowsRegion(s.entry().Region)
 }
 
+// HasServers reports whether the group has a server that gets requests, whether or not it
+// has free capacity.
+func (g *Group) HasServers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.servers, (*Server).isInRotation)
+}
+
 // hasServer reports whether filter matches a server that can receive requests now or,
 // before until, once it has free capacity. Servers that are draining, leaving, evacuated,
 // removed or considered down do not count. The caller holds mu.
