Mend what a second read of the change found

Cause 2: work that need not be. Behaviour of these is the same. Measured: internal and modules pass under the race detector, platform without it, the linter is clean. Bounds and checks are unchanged.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -238,6 +238,7 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
+		// A timeout beyond idleTimeout changes nothing, and might not fit into a Duration.
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 && seconds < int(c.idleTimeout/time.Second)+1 {
 			c.idleTimeout = min(c.idleTimeout, time.Duration(seconds)*time.Second-idleTimeoutMargin)
 		}
--- a/internal/routing/fleet/cold.go
+++ b/internal/routing/fleet/cold.go
@@ -235,11 +235,9 @@
 func (f *Fleet) SetPeers(peers []Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(peers) != len(f.peers) {
-		defer f.applyExtraSendBurst()
-	}
 	f.peers = peers
 	f.applyColdServerPolicies()
+	f.applyExtraSendBurst()
 }
 
 // applyColdServerPolicies passes the limits on requests to cold servers and the peers on
--- a/internal/routing/fleet/dump.go
+++ b/internal/routing/fleet/dump.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // ServerState is this host's view of one server, for operators.
@@ -76,17 +78,22 @@
 // NoticeCounts returns the number of servers that have stated that they leave, and of
 // those that want no requests of this host at the moment.
 func (f *Fleet) NoticeCounts(now time.Time) (leaving, resting int) {
-	for _, s := range f.Dump(now) {
-		if s.IsLeaving {
-			leaving++
-		}
-		if s.RestMs > 0 {
-			resting++
-		}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, g := range f.groups {
+		l, r := g.noticeCounts(now)
+		leaving, resting = leaving+l, resting+r
 	}
 	return leaving, resting
 }
 
+func (g *Group) noticeCounts(now time.Time) (leaving, resting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return lo.CountBy(g.servers, func(s *Server) bool { return s.isLeaving }),
+		lo.CountBy(g.servers, func(s *Server) bool { return s.isResting(now) })
+}
+
 // Waiting returns the number of requests that wait for a server of any service.
 func (f *Fleet) Waiting() int {
 	f.mu.RLock()
--- a/internal/routing/fleet/notice.go
+++ b/internal/routing/fleet/notice.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxNotices is the maximum number of servers of one service whose notices are kept.
 const maxNotices = 1024
@@ -110,10 +113,5 @@
 func (g *Group) CanServeBy(filter Filter, until time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, s := range g.servers {
-		if g.matches(s, filter) && s.restUntil.Before(until) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(g.servers, func(s *Server) bool { return g.matches(s, filter) && s.restUntil.Before(until) })
 }
