--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -81,8 +81,8 @@
 	return o
 }
 
-// remove removes an object and returns the time of the acknowledgement.
-func (s *store) remove(kind, name string) time.Time {
+// remove removes an object.
+func (s *store) remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o, ok := s.objects[kind][name]; ok {
@@ -91,7 +91,6 @@
 		delete(s.objects[kind], name)
 		s.record(event{kind: kind, Object: o, Deleted: true})
 	}
-	return time.Now()
 }
 
 func (s *store) record(e event) {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -250,12 +250,11 @@
 }
 
 // add starts a server and writes its entry.
-func (w *world) add(s *server) *server {
+func (w *world) add(s *server) {
 	s.address = "127.0.0.1:0"
 	s.start(w.ledger)
 	w.servers = append(w.servers, s)
 	w.store.put("servers", s.id, s.entry("ready"))
-	return s
 }
 
 // configure writes the next version of the configuration.
