--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,10 +10,12 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +47,14 @@
 		failedPart(w)
 	case "list-gap":
 		listGap(w)
+	case "odd-entry":
+		oddEntry(w)
+	case "planned-stop":
+		plannedStop(w)
+	case "lost-answer":
+		lostAnswer(w)
+	case "endless":
+		endless(w)
 	}
 	check(os.ErrInvalid)
 }
@@ -365,3 +375,139 @@
 	}
 	w.end(late, "%d requests sent, %d reached a leaving server too late, %d of these got no answer of it", len(results), late, lost)
 }
+
+// deskServers starts servers of the service venue.
+func deskServers(w *world, count int, work func() time.Duration, prepare func(i int, s *server)) {
+	for i := range count {
+		s := &server{id: fmt.Sprintf("i-venue-%d", i), service: "venue", zone: w.zones[i%3], capacity: 2, queue: 8, work: work}
+		if prepare != nil {
+			prepare(i, s)
+		}
+		w.add(s)
+	}
+}
+
+// oddEntry: another writer leaves one entry with missing fields among those of the servers.
+func oddEntry(w *world) {
+	deskServers(w, 9, func() time.Duration { return time.Duration(60+rand.IntN(120)) * time.Millisecond }, nil)
+	w.configure([]map[string]any{deskRoute("read_only", "venue")})
+	// Another program, which is no server of the system, listens at the address.
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	check(err)
+	go func() {
+		check(http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			w.note("foreign  the other program gets %s", r.Header.Get("Request-Id"))
+			http.NotFound(rw, r)
+		})))
+	}()
+	w.startAll()
+	time.Sleep(6 * time.Second)
+	if trouble {
+		// The fields version, capacity, cold_remaining_ms and born are missing.
+		w.store.put("servers", "i-other", map[string]any{"service": "venue", "address": l.Addr().String(), "zone": "kgn-a", "state": "ready", "sequence": 1})
+		w.note("entry    another writer's entry i-other")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	results := w.load(ctx, 3, 20*time.Millisecond, func(c *client) result {
+		return c.send(http.MethodGet, "hufi27.example", "/goka902/2f", 3*time.Second, nil)
+	})
+	denied := 0
+	for _, x := range results {
+		if x.status >= 300 && x.status < 500 && !slices.Contains([]int{408, 421, 429}, x.status) {
+			denied++
+			w.note("DENIED   %s was answered %d", x.id, x.status)
+		}
+	}
+	broken := 0
+	if denied > 10 && denied > 5+len(results)/500 {
+		broken = denied
+	}
+	w.end(broken, "%d requests sent, %d answered with a 3xx or 4xx that no server gave", len(results), denied)
+}
+
+// plannedStop: the fronts are stopped and started in turn under load.
+func plannedStop(w *world) {
+	deskServers(w, 24, func() time.Duration { return time.Duration(60+rand.IntN(600)) * time.Millisecond }, nil)
+	w.configure([]map[string]any{deskRoute("non_idempotent", "venue")})
+	w.startAll()
+	time.Sleep(2 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for _, f := range w.fronts {
+			if trouble {
+				f.terminate()
+				w.note("stopped  %s", f.name)
+				f.start(w)
+			}
+			time.Sleep(3 * time.Second)
+		}
+		cancel()
+	}()
+	results := w.load(ctx, 8, 5*time.Millisecond, func(c *client) result {
+		if !c.f.isReady() && rand.IntN(2) == 0 {
+			// The platform opens no new connections to a front that is not ready.
+			if c.conn == nil {
+				time.Sleep(20 * time.Millisecond)
+				return result{}
+			}
+		}
+		return book(c)
+	})
+	lost := 0
+	for _, x := range results {
+		if x.id != "" && x.err != nil && len(w.runsOf(x.id)) > 0 {
+			lost++
+			w.note("LOST     %s ran and its connection ended: %v", x.id, x.err)
+		}
+	}
+	twice, refused := w.judgeOnce(results)
+	w.end(lost+twice+refused, "%d requests sent, %d ran and got no answer, %d ran twice, %d refused and ran", len(results), lost, twice, refused)
+}
+
+// lostAnswer: servers run requests and their answers are lost.
+func lostAnswer(w *world) {
+	lose := newDose(0.05)
+	deskServers(w, 8, func() time.Duration { return time.Duration(30+rand.IntN(60)) * time.Millisecond }, func(i int, s *server) {
+		if trouble && i%2 == 0 {
+			s.lose = lose.draw
+		}
+	})
+	w.configure([]map[string]any{deskRoute("non_idempotent", "venue")})
+	w.startAll()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	results := w.load(ctx, 5, 5*time.Millisecond, book)
+	twice, refused := w.judgeOnce(results)
+	w.end(twice+refused, "%d requests sent, %d ran twice, %d were refused and ran", len(results), twice, refused)
+}
+
+// endless: one server in eight sends a body without an end.
+func endless(w *world) {
+	addShards(w, func(i int, s *server) { s.endless = trouble && i%8 == 0 })
+	w.startAll()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	results := w.load(ctx, 12, 5*time.Millisecond, sweep)
+	over := 0
+	for _, f := range w.fronts {
+		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
+		for line := range strings.SplitSeq(string(raw), "\n") {
+			if kb, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+				n, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(kb), " kB"))
+				w.note("memory   %s %d kB at most", f.name, n)
+				fmt.Println(f.name, n, "kB")
+				if n > 284<<10 {
+					over++
+				}
+			}
+		}
+	}
+	ok := 0
+	for _, x := range results {
+		if x.status == http.StatusOK {
+			ok++
+		}
+	}
+	w.end(over, "%d requests sent, %d served, %d fronts over their memory", len(results), ok, over)
+}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +33,10 @@
 	// second says whether a second copy of an answer follows, late: at the point where
 	// the next answer on the connection is expected.
 	second func() bool
+	// lose says whether an answer is lost: the connection is reset or closed instead.
+	lose func() bool
+	// endless means that the body of a success does not end until the caller closes.
+	endless bool
 	// parts means that the body of an answer consists of records.
 	parts bool
 
@@ -160,6 +165,22 @@
 		if s.echoes != nil && !s.echoes(a.status) {
 			echo = ""
 		}
+		if a.status == http.StatusOK && s.lose != nil && s.lose() {
+			s.ledger.note("lost     the answer of server %s to %s", s.id, id)
+			if rand.IntN(2) == 0 {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			return
+		}
+		if a.status == http.StatusOK && s.endless {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, a.signature)
+			chunk := append([]byte("8000\r\n"), make([]byte, 0x8000)...)
+			chunk = append(chunk, "\r\n"...)
+			for err == nil {
+				_, err = c.Write(chunk)
+			}
+			return
+		}
 		raw := a.encode(echo)
 		if _, err := c.Write(raw); err != nil {
 			return
