--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/godwithatch ] && [ -x target/review ] || exit 2
-exec target/review -case failed-part -record review/5/record.txt
+exec target/review -case list-gap -record review/5/record.txt
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -35,6 +35,9 @@
 	second func() bool
 	// lose says whether an answer is lost: the connection is reset or closed instead.
 	lose func() bool
+	// trailing says whether an answer is sent without a length, with additional bytes after
+	// it, until the server closes the connection.
+	trailing func() bool
 	// endless means that the body of a success does not end until the caller closes.
 	endless bool
 	// parts means that the body of an answer consists of records.
@@ -50,6 +53,9 @@
 	ledger   *ledger
 }
 
+// trailingBytes is the number of additional bytes after an answer.
+const trailingBytes = 14 << 20
+
 // answer is the answer of a server.
 type answer struct {
 	status      int
@@ -181,6 +187,13 @@
 			}
 			return
 		}
+		if a.status == http.StatusOK && s.trailing != nil && s.trailing() {
+			s.ledger.note("garbled  server %s answers %s without a length, and sends more bytes after it", s.id, id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nConnection: close\r\n\r\n", id, a.signature)
+			_, _ = c.Write(a.body)
+			_, _ = c.Write(make([]byte, trailingBytes))
+			return
+		}
 		raw := a.encode(echo)
 		if _, err := c.Write(raw); err != nil {
 			return
