--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -55,6 +55,8 @@
 		lostAnswer(w)
 	case "endless":
 		endless(w)
+	case "endless-head":
+		memory(w, func(i int, s *server) { s.endlessHead = trouble && i%8 == 0 })
 	case "trailing":
 		trailing(w)
 	}
@@ -484,13 +486,14 @@
 	w.end(twice+refused, "%d requests sent, %d ran twice, %d were refused and ran", len(results), twice, refused)
 }
 
-// endless: servers send bytes after an answer, or a body without an end.
+// endless: one server in eight sends a body without an end.
 func endless(w *world) { memory(w, func(i int, s *server) { s.endless = trouble && i%8 == 0 }) }
 
 // trailing: servers send an answer without a length and additional bytes after it.
 func trailing(w *world) {
 	garble := newDose(0.05)
 	memory(w, func(i int, s *server) {
+		s.pauses = time.Duration(1+i) * 200 * time.Millisecond
 		if i%2 == 0 {
 			s.trailing = func() bool { return periods() && garble.draw() }
 		}
@@ -505,7 +508,7 @@
 func memory(w *world, prepare func(i int, s *server)) {
 	addShards(w, prepare)
 	w.startAll()
-	ctx, cancel := context.WithTimeout(context.Background(), 70*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 105*time.Second)
 	defer cancel()
 	var watching sync.WaitGroup
 	kills := make([]int, len(w.fronts))
@@ -527,7 +530,7 @@
 			}
 		})
 	}
-	results := w.load(ctx, 12, 150*time.Millisecond, sweep)
+	results := w.load(ctx, 12, 135*time.Millisecond, sweep)
 	watching.Wait()
 	ended, unanswered := 0, 0
 	for i, f := range w.fronts {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -40,6 +40,10 @@
 	trailing func() bool
 	// endless means that the body of a success does not end until the caller closes.
 	endless bool
+	// endlessHead is the same for the head.
+	endlessHead bool
+	// pauses is the offset of the server's pauses; 0 means that it never pauses.
+	pauses time.Duration
 	// parts means that the body of an answer consists of records.
 	parts bool
 
@@ -178,6 +182,13 @@
 			}
 			return
 		}
+		if a.status == http.StatusOK && s.endlessHead {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX: ")
+			for err == nil {
+				_, err = c.Write(bytes.Repeat([]byte("a"), 1<<15))
+			}
+			return
+		}
 		if a.status == http.StatusOK && s.endless {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, a.signature)
 			chunk := append([]byte("8000\r\n"), make([]byte, 0x8000)...)
@@ -220,6 +231,12 @@
 	defer func() { <-s.slots }()
 	s.ledger.run(s, id)
 	time.Sleep(s.work())
+	if s.pauses > 0 {
+		// The server pauses for 250 ms each 6 s, at its own time.
+		if at := (time.Since(started) + s.pauses) % (6 * time.Second); at < 250*time.Millisecond {
+			time.Sleep(250*time.Millisecond - at)
+		}
+	}
 	if s.answer != nil {
 		if a := s.answer(s, id); a != nil {
 			s.ledger.note("failed   server %s ran %s and answered %d", s.id, id, a.status)
