--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -330,7 +330,7 @@
 			s := w.servers[n*perService]
 			leaving[s] = w.store.put("servers", s.id, s.entry("draining"))
 			w.note("leaving  server %s", s.id)
-			time.Sleep(2 * time.Millisecond)
+			time.Sleep(2500 * time.Microsecond)
 		}
 		time.Sleep(14 * time.Second)
 		for s := range leaving {
