Count how responses match requests, and extra sends without the budget

The logs and metrics could not tell the three hypotheses of the incident apart. godwithatch_server_responses_total counts responses by their match: with the ID of the request, without an ID as the first on a connection, without an ID on a connection that has carried others, with the ID of another request. godwithatch_second_sends_unpaid_total counts the extra sends that the budget did not count, by the outcome of the send before. No logic changes.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -39,6 +39,8 @@
 	idleTimeout time.Duration
 	// hasReceivedResponse reports whether an exchange on the connection succeeded.
 	hasReceivedResponse bool
+	// received is the number of final responses that were read from the connection.
+	received int
 	// writeBuffer holds the encoded request and is reused by later exchanges.
 	writeBuffer []byte
 }
@@ -83,14 +85,14 @@
 
 // exchange writes a request and reads its response. It also reports whether the
 // connection may be reused.
-func (c *conn) exchange(ctx context.Context, call *Call, opts Options, m *memory) (*Reply, bool, error) {
+func (c *conn) exchange(ctx context.Context, call *Call, p *Pool) (*Reply, bool, error) {
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
 	written, err := c.write(call)
 	if err != nil {
 		return nil, false, c.wrapError(ctx, "write", err)
 	}
-	reply, reusable, err := c.read(call, opts, m)
+	reply, reusable, err := c.read(call, p)
 	if err != nil {
 		return nil, false, c.wrapError(ctx, "read", err)
 	}
@@ -163,18 +165,20 @@
 
 // read returns the response to call and reports whether the connection may be
 // reused. It skips responses that echo the ID of another request.
-func (c *conn) read(call *Call, opts Options, m *memory) (*Reply, bool, error) {
+func (c *conn) read(call *Call, p *Pool) (*Reply, bool, error) {
 	for skipped := 0; ; skipped++ {
-		reply, reusable, err := c.readFinalResponse(call, opts.MaxBody, m)
+		reply, reusable, err := c.readFinalResponse(call, p.opts.MaxBody, &p.memory)
 		if err != nil {
 			return nil, false, err
 		}
-		echo := reply.Header.Get(opts.EchoHeader)
-		if echo == call.RequestID || echo == "" && skipped == 0 {
+		reply.Match = matchOf(reply.Header, call, p.opts.EchoHeader, c.received == 0)
+		p.matches[reply.Match].Add(1)
+		c.received++
+		if reply.Match != Foreign && (reply.Match == Echoed || skipped == 0) {
 			return reply, reusable && skipped == 0, nil
 		}
 		if skipped == maxSkippedResponses || !reusable && c.r.Buffered() == 0 {
-			return nil, false, protocolError("response carries the ID of another request: " + strconv.Quote(echo))
+			return nil, false, protocolError("response carries the ID of another request: " + strconv.Quote(reply.Header.Get(p.opts.EchoHeader)))
 		}
 	}
 }
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -120,6 +120,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Match says how the response was matched to the request.
+	Match Match
 }
 
 // Options configures a Pool.
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -37,8 +37,9 @@
 
 // Pool keeps open connections to servers for reuse. It is safe for concurrent use.
 type Pool struct {
-	opts   Options
-	memory memory
+	opts    Options
+	memory  memory
+	matches matchCounters
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, unsentError("connect", err)
 	}
-	reply, reusable, err := c.exchange(ctx, call, p.opts, &p.memory)
+	reply, reusable, err := c.exchange(ctx, call, p)
 	if err != nil || !reusable {
 		p.discard(c)
 		return reply, err
@@ -169,6 +170,9 @@
 // Options.MaxBodies.
 func (p *Pool) RejectedBodies() int64 { return p.memory.rejected.Load() }
 
+// Responses returns the number of final responses with the given match.
+func (p *Pool) Responses(m Match) int64 { return p.matches[m].Load() }
+
 // Prune closes the idle connections whose idle timeout has expired at now, and surplus
 // idle connections after surplusIdleTimeout. The owner of the pool calls it about once
 // a second.
--- a/internal/serving/engine/counters.go
+++ b/internal/serving/engine/counters.go
@@ -23,6 +23,9 @@
 	// Denied counts the extra sends that were not made, by reason.
 	ExtraSends atomic.Int64
 	Denied     [denialCount]atomic.Int64
+	// UnpaidSends counts the extra sends that were made without the budget, by the outcome
+	// of the send before.
+	UnpaidSends [fleet.OutcomeCount]atomic.Int64
 	// InFlight is the number of requests in progress.
 	InFlight atomic.Int64
 }
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -292,7 +292,13 @@
 		// received the request.
 		sub.attempts--
 	}
-	if r.sendAgain(sub, skipsBudget) || sub.pending > 0 {
+	if r.sendAgain(sub, skipsBudget) {
+		if skipsBudget {
+			r.engine.counters.UnpaidSends[reply.Outcome].Add(1)
+		}
+		return
+	}
+	if sub.pending > 0 {
 		return
 	}
 	r.retryOrFinish(sub, time.Now())
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/godwithatch/godwithatch/internal/protocol/http1"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/internal/serving/engine"
 	"github.com/godwithatch/godwithatch/internal/telemetry/logwriter"
@@ -48,6 +49,8 @@
 	// RejectedBodies returns the number of response bodies that were cut off because all
 	// bodies together exceeded the memory for them.
 	RejectedBodies func() int64
+	// Responses returns the number of responses of servers with a match.
+	Responses func(http1.Match) int64
 	// UnreadableEntries returns the number of entries in answers of the store that could
 	// not be read.
 	UnreadableEntries func() int64
@@ -129,6 +132,10 @@
 			func() float64 { return float64(c.Sends[i].Load()) })
 	}
 	m.registerCounter("second_sends_total", "Sends beyond the first for a service.", "", "", func() float64 { return float64(c.ExtraSends.Load()) })
+	for i := range c.UnpaidSends {
+		m.registerCounter("second_sends_unpaid_total", "Sends beyond the first that the budget did not count, by the outcome of the send before.", "outcome", fleet.Outcome(i).String(),
+			func() float64 { return float64(c.UnpaidSends[i].Load()) })
+	}
 	for i := range c.Denied {
 		if d := engine.Denial(i); d != engine.NotDenied {
 			m.registerCounter("second_sends_denied_total", "Further sends that did not happen, by reason.", "reason", d.String(),
@@ -151,6 +158,9 @@
 		return float64(resting)
 	})
 	m.registerGauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
+	for _, match := range http1.MatchValues() {
+		m.registerCounter("server_responses_total", "Responses of servers by their match to the request.", "match", match.String(), func() float64 { return float64(s.Responses(match)) })
+	}
 	m.registerCounter("server_bodies_cut_total", "Bodies of servers that were cut off because all bodies together exceeded the memory for them.", "", "", func() float64 { return float64(s.RejectedBodies()) })
 	m.registerCounter("store_entries_unreadable_total", "Entries in answers of the store that could not be read.", "", "", func() float64 { return float64(s.UnreadableEntries()) })
 	m.registerGauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
