--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -120,6 +120,9 @@
 	f.applyExtraSendBurst()
 }
 
+// SetRestarted states whether the host may have run before.
+func (f *Fleet) SetRestarted(bool) {}
+
 // applyExtraSendBurst passes this host's part of the slack on to all groups. The caller
 // holds mu.
 func (f *Fleet) applyExtraSendBurst() {
--- a/internal/serving/engine/engine_test.go
+++ b/internal/serving/engine/engine_test.go
@@ -108,6 +108,29 @@
 	})
 }
 
+// All servers start again at their addresses under new IDs, again and again, and each time
+// the host learns of the IDs one restart later. Sends that other servers reject count as
+// arrivals.
+func TestMisdirectedSendsStayWithinBudget(t *testing.T) {
+	runWithFakeClock(t, func(t *testing.T) {
+		const rounds = 40
+		sim := newSimulation()
+		e := New(sim.fleet, sim)
+		for id := range sim.servers {
+			sim.setBehaviour(behaviour{misdirects: true}, id)
+		}
+		for round := range rounds {
+			sim.restart(int64(round))
+			e.Run(t.Context(), newTestRequest(shardedRoute(1)))
+		}
+		for service, n := range sim.extras {
+			if n > rounds*20/100+testBurst {
+				t.Errorf("%s got %d sends beyond the first of %d requests", service, n, rounds)
+			}
+		}
+	})
+}
+
 // testBurst is one host's share of the extra sends that the deployments allow beyond a
 // fixed share of the requests. Together the 16 hosts are allowed 52 such sends.
 const testBurst = 3
--- a/internal/serving/engine/simulation_test.go
+++ b/internal/serving/engine/simulation_test.go
@@ -52,6 +52,8 @@
 	// nil, the server never pauses.
 	pauseLeft  func(now time.Time) time.Duration
 	refusesAll bool
+	// misdirects means that another server has the address.
+	misdirects bool
 }
 
 // simulation is a Sender over simulated servers with a limited number of slots. It runs
@@ -65,6 +67,10 @@
 	// that each server has run.
 	arrivals map[string]int
 	runs     map[string]int
+	// extras is the number of sends to each service beyond the first of each request, and
+	// seen holds the requests and services that have had a send.
+	extras map[string]int
+	seen   map[string]bool
 	// busy is the number of requests that are running now on all servers.
 	busy  int
 	fleet *fleet.Fleet
@@ -73,22 +79,33 @@
 func newSimulation() *simulation {
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(testSeed, 1)), servers: map[string]*behaviour{}, slots: map[string]chan struct{}{},
-		arrivals: map[string]int{}, runs: map[string]int{}, fleet: fleet.New(fleet.Locality{DataCentre: "z0", Region: "r0"}),
+		arrivals: map[string]int{}, runs: map[string]int{}, extras: map[string]int{}, seen: map[string]bool{}, fleet: fleet.New(fleet.Locality{DataCentre: "z0", Region: "r0"}),
 	}
+	for shard := range testShards {
+		for dataCentre := range testDataCentres {
+			id := serverID(shard, dataCentre)
+			sim.servers[id] = &behaviour{}
+			sim.slots[id] = make(chan struct{}, testSlots)
+		}
+	}
+	sim.restart(0)
+	return sim
+}
+
+// restart replaces the entries of all servers by those of servers that started at the given
+// time, in Unix milliseconds.
+func (sim *simulation) restart(startUnixMs int64) {
 	var entries []membership.Entry
 	for shard := range testShards {
 		for dataCentre := range testDataCentres {
 			id := serverID(shard, dataCentre)
 			entries = append(entries, membership.Entry{
 				ID: id, Service: serviceName(shard), Address: id, DataCentre: fmt.Sprint("z", dataCentre),
-				Region: fmt.Sprint("r", dataCentre), Capacity: testSlots,
+				Region: fmt.Sprint("r", dataCentre), Capacity: testSlots, StartUnixMs: startUnixMs,
 			})
-			sim.servers[id] = &behaviour{}
-			sim.slots[id] = make(chan struct{}, testSlots)
 		}
 	}
 	sim.fleet.Update(entries)
-	return sim
 }
 
 func serviceName(shard int) string { return fmt.Sprint("shard", shard) }
@@ -109,6 +126,11 @@
 func (sim *simulation) Send(ctx context.Context, s *fleet.Server, req *Request) *Reply {
 	sim.mu.Lock()
 	sim.arrivals[s.Service()]++
+	if key := fmt.Sprintf("%p %s", req, s.Service()); sim.seen[key] {
+		sim.extras[s.Service()]++
+	} else {
+		sim.seen[key] = true
+	}
 	b := *sim.servers[s.ID()]
 	isShed := b.refusesAll || sim.rng.Float64() < b.shedShare
 	serviceTime := time.Duration(float64(testServiceTime) * (0.6 + 0.8*sim.rng.Float64()) * max(b.slowdown, 1))
@@ -120,6 +142,8 @@
 	case b.isSilent:
 		<-ctx.Done()
 		return silentReply(ctx)
+	case b.misdirects:
+		return &Reply{Outcome: fleet.Misdirected, Err: errConnectionBroke}
 	case isShed:
 		return &Reply{Outcome: fleet.Refused, Err: errConnectionBroke}
 	}
