A response without an ID on a reused connection answers no request

Cause: the client of the servers took the first response on a connection for the answer to the request that waited, if it had no Request-Id. A server that answers twice, the second time late, so answered another request; its real answer stayed behind for the next one, and so on. A late copy of a 421 was taken for a statement about a request that the server ran: the run gave the attempt back and sent again without the budget. A late copy of a refusal let a request that may run once run twice, or told its client that it had not run. Class: a reply is matched by its place in a stream that the peer can shift.

Change: a connection is reused only after a response that echoes the ID of its request. A response without an ID counts if it is the first on its connection; otherwise the request may have run, and another send is paid for. So nothing can follow on a connection that is not told by its ID.

TestResponseToHeadAnd304HasNoBody asked for the reuse of a connection after a response without an ID, which was the fault. Its responses now have the ID; what it checks is the same.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -164,7 +164,9 @@
 }
 
 // read returns the response to call and reports whether the connection may be
-// reused. It skips responses that echo the ID of another request.
+// reused. It skips responses that echo the ID of another request. After a response
+// without an ID the connection is not reused, because a late copy of that response could
+// not be told from the next one.
 func (c *conn) read(call *Call, p *Pool) (*Reply, bool, error) {
 	for skipped := 0; ; skipped++ {
 		reply, reusable, err := c.readFinalResponse(call, p.opts.MaxBody, &p.memory)
@@ -174,8 +176,8 @@
 		reply.Match = matchOf(reply.Header, call, p.opts.EchoHeader, c.received == 0)
 		p.matches[reply.Match].Add(1)
 		c.received++
-		if reply.Match != Foreign && (reply.Match == Echoed || skipped == 0) {
-			return reply, reusable && skipped == 0, nil
+		if reply.Match != Foreign {
+			return reply, reusable && reply.Match == Echoed && skipped == 0, nil
 		}
 		if skipped == maxSkippedResponses || !reusable && c.r.Buffered() == 0 {
 			return nil, false, protocolError("response carries the ID of another request: " + strconv.Quote(reply.Header.Get(p.opts.EchoHeader)))
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -12,10 +12,11 @@
 // after some failures, and because it hides bytes that a faulty server sends after
 // a response. Responses are parsed by net/http.
 //
-// A connection is reused only if three conditions hold. The length of the last response
-// was known from its header or its chunks, no unread bytes followed that response, and
-// the connection has been idle for less than the timeout that the server announced. A
-// response that echoes the ID of another request is skipped.
+// A connection is reused only if four conditions hold. The last response echoed the ID of
+// its request, its length was known from its header or its chunks, no unread bytes
+// followed it, and the connection has been idle for less than the timeout that the server
+// announced. A response that echoes the ID of another request is skipped. Reply.Match says
+// whether a response without an ID can be the answer to the request.
 package http1
 
 import (
--- a/internal/protocol/http1/match.go
+++ b/internal/protocol/http1/match.go
@@ -18,7 +18,8 @@
 	// connection.
 	First
 	// Unidentified means that the response carries no ID and that its connection has
-	// carried other responses. It may be a late copy of one of them.
+	// carried other responses. It may be an additional response to one of their requests,
+	// so it says nothing about this request, which may have run.
 	Unidentified
 	// Foreign means that the response carries the ID of another request.
 	Foreign
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -278,8 +278,8 @@
 // no body follows. Exchange must not wait for a body, and must reuse the connection.
 func TestResponseToHeadAnd304HasNoBody(t *testing.T) {
 	for method, head := range map[string]string{
-		http.MethodHead: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
-		http.MethodGet:  "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+		http.MethodHead: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		http.MethodGet:  "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 5\r\n\r\n",
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			respond := func(nc net.Conn, r *bufio.Reader) {
