Sends after an answer 421 are paid for by the budget

Cause: a server that starts again at its address has a new ID, and answers 421 to requests for the old one. The run took such a send for none at all and sent again without the budget, up to three times for each shard. The rule counts arrivals that a server rejects. Class: spending that the account does not see.

Evidence: the test makes all servers start again before each of 40 requests; 80 sends beyond the first, the bound of a host is 11.

Change: only a send that reached no server is free. The attempt is still given back after a 421, since the intended server has not received the request.

The test told requests apart by their addresses, which are used again; it keeps the requests now. On the old code it still counts 80.

--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -286,12 +286,14 @@
 		return
 	}
 	sub.keepBestReply(reply)
-	skipsBudget := reply.Outcome == fleet.Unreachable || reply.Outcome == fleet.Misdirected
-	if skipsBudget {
-		// The send does not count as an attempt, because no server of the service has
+	if reply.Outcome == fleet.Unreachable || reply.Outcome == fleet.Misdirected {
+		// The send does not count as an attempt, because the intended server has not
 		// received the request.
 		sub.attempts--
 	}
+	// A send that reached no server is no arrival. Any other one is, also at a server that
+	// has rejected the request because it has the address of another.
+	skipsBudget := reply.Outcome == fleet.Unreachable
 	if r.sendAgain(sub, skipsBudget) {
 		if skipsBudget {
 			r.engine.counters.UnpaidSends[reply.Outcome].Add(1)
--- a/internal/serving/engine/simulation_test.go
+++ b/internal/serving/engine/simulation_test.go
@@ -70,16 +70,22 @@
 	// extras is the number of sends to each service beyond the first of each request, and
 	// seen holds the requests and services that have had a send.
 	extras map[string]int
-	seen   map[string]bool
+	seen   map[firstSend]bool
 	// busy is the number of requests that are running now on all servers.
 	busy  int
 	fleet *fleet.Fleet
 }
 
+// firstSend is the first send of a request to a service.
+type firstSend struct {
+	req     *Request
+	service string
+}
+
 func newSimulation() *simulation {
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(testSeed, 1)), servers: map[string]*behaviour{}, slots: map[string]chan struct{}{},
-		arrivals: map[string]int{}, runs: map[string]int{}, extras: map[string]int{}, seen: map[string]bool{}, fleet: fleet.New(fleet.Locality{DataCentre: "z0", Region: "r0"}),
+		arrivals: map[string]int{}, runs: map[string]int{}, extras: map[string]int{}, seen: map[firstSend]bool{}, fleet: fleet.New(fleet.Locality{DataCentre: "z0", Region: "r0"}),
 	}
 	for shard := range testShards {
 		for dataCentre := range testDataCentres {
@@ -126,10 +132,10 @@
 func (sim *simulation) Send(ctx context.Context, s *fleet.Server, req *Request) *Reply {
 	sim.mu.Lock()
 	sim.arrivals[s.Service()]++
-	if key := fmt.Sprintf("%p %s", req, s.Service()); sim.seen[key] {
+	if first := (firstSend{req, s.Service()}); sim.seen[first] {
 		sim.extras[s.Service()]++
 	} else {
-		sim.seen[key] = true
+		sim.seen[first] = true
 	}
 	b := *sim.servers[s.ID()]
 	isShed := b.refusesAll || sim.rng.Float64() < b.shedShare
