The share of extra sends follows the ratio of the deployment

All known deployments state 0.2; with 0.05 the hosts would break BUDGET. The new case of TestExtraSendsOfAllHostsStayWithinBound (8 hosts, ratio 0.05, slack 10) has a bound of 100 extra sends for 1,800 requests; the constant alone earns 270.

--- a/internal/routing/fleet/budget_test.go
+++ b/internal/routing/fleet/budget_test.go
@@ -11,15 +11,15 @@
 // extra send. The hosts do not know of each other's, and together they must stay within the
 // bound of the deployment: a share of the requests in ten seconds and the slack.
 func TestExtraSendsOfAllHostsStayWithinBound(t *testing.T) {
-	const ratio = 0.2
 	for _, c := range []struct {
 		hosts, requests int
-		slack           float64
+		ratio, slack    float64
 	}{
-		{hosts: 6, requests: 1800, slack: 52},
-		{hosts: 8, requests: 1800, slack: 56},
-		{hosts: 80, requests: 1120, slack: 200},
-		{hosts: 295, requests: 960, slack: 630},
+		{hosts: 6, requests: 1800, ratio: 0.2, slack: 52},
+		{hosts: 8, requests: 1800, ratio: 0.2, slack: 56},
+		{hosts: 8, requests: 1800, ratio: 0.05, slack: 10},
+		{hosts: 80, requests: 1120, ratio: 0.2, slack: 200},
+		{hosts: 295, requests: 960, ratio: 0.2, slack: 630},
 	} {
 		peers := make([]Peer, c.hosts)
 		for i := range peers {
@@ -28,7 +28,7 @@
 		fleets := make([]*Fleet, c.hosts)
 		for i := range fleets {
 			fleets[i] = New(Locality{Host: peers[i].Name, DataCentre: "z0", Region: "r0"})
-			fleets[i].SetExtraSendSlack(c.slack)
+			fleets[i].SetExtraSendLimit(c.ratio, c.slack)
 			fleets[i].Update([]membership.Entry{newEntry("near", "z0", "r0")})
 			fleets[i].SetPeers(peers)
 		}
@@ -40,7 +40,7 @@
 				extra++
 			}
 		}
-		if bound := ratio*float64(c.requests) + c.slack; float64(extra) > bound {
+		if bound := c.ratio*float64(c.requests) + c.slack; float64(extra) > bound {
 			t.Errorf("%d hosts made %d extra sends for %d requests, the bound is %.0f", c.hosts, extra, c.requests, bound)
 		}
 		for _, f := range fleets {
@@ -72,7 +72,7 @@
 		for start := range 3 {
 			for i := range fleets {
 				fleets[i] = New(Locality{Host: peers[i].Name, DataCentre: "z0", Region: "r0"})
-				fleets[i].SetExtraSendSlack(c.slack)
+				fleets[i].SetExtraSendLimit(ratio, c.slack)
 				fleets[i].SetRestarted(start > 0)
 				fleets[i].Update([]membership.Entry{newEntry("near", "z0", "r0")})
 				fleets[i].SetPeers(peers)
--- a/internal/routing/fleet/fleet.go
+++ b/internal/routing/fleet/fleet.go
@@ -30,6 +30,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -89,9 +90,9 @@
 	// each limit.
 	coldLimits map[string]ColdLimit
 	peers      []Peer
-	// extraSendSlack is the number of extra sends that the hosts together may make for a
-	// service beyond a share of its requests; 0 if it is not known.
-	extraSendSlack float64
+	// extraSendRatio is the number of extra sends that the hosts together may make for each
+	// request of a service, and extraSendSlack the number beyond these; 0 if it is not known.
+	extraSendRatio, extraSendSlack float64
 	// isRestarted means that an earlier process of this host may have used its part of the
 	// extra sends up.
 	isRestarted bool
@@ -114,13 +115,13 @@
 	f.isConnected = isConnected
 }
 
-// SetExtraSendSlack sets the number of extra sends that all hosts together may make for a
-// service beyond a share of its requests. The peers share it.
-func (f *Fleet) SetExtraSendSlack(slack float64) {
+// SetExtraSendLimit sets the number of extra sends that all hosts together may make for each
+// request of a service, and beyond these the slack, which the peers share. 0 means that the
+// number is not known. SetExtraSendLimit must be called before the first Update.
+func (f *Fleet) SetExtraSendLimit(ratio, slack float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.extraSendSlack = slack
-	f.applyExtraSendBurst()
+	f.extraSendRatio, f.extraSendSlack = ratio, slack
 }
 
 // SetRestarted states whether this host may have run before. If so, its budgets for extra
@@ -159,7 +160,7 @@
 func (f *Fleet) group(service string) *Group {
 	g := f.groups[service]
 	if g == nil {
-		g = newGroup(service)
+		g = newGroup(service, cmp.Or(f.extraSendRatio, extraSendRatio))
 		g.extraSends.SetBurst(extraSendBurstOf(f.extraSendSlack, len(f.peers)))
 		if f.isRestarted {
 			g.extraSends.Drain()
--- a/internal/routing/fleet/group.go
+++ b/internal/routing/fleet/group.go
@@ -48,10 +48,12 @@
 	// average of the typical service time.
 	typicalRiseWeight = 0.06 // a reply that took longer than the average
 	typicalFallWeight = 0.06 // a reply that took less time than the average
-	// extraSendShare is the maximum number of extra sends (retries and hedges) per
-	// first send of a request. The deployments allow 0.2 over all hosts. The difference
-	// is a margin for requests that several hosts count differently.
-	extraSendShare = 0.15
+	// extraSendRatio is the number of extra sends (retries and hedges) per first send of a
+	// request that the hosts together may make, if the deployment does not state it.
+	extraSendRatio = 0.2
+	// extraSendMargin is the share of that number that the hosts use. The rest is for
+	// requests that several hosts count differently.
+	extraSendMargin = 0.75
 	// extraSendBurst is the maximum number of extra sends in immediate succession,
 	// before further first sends refill the budget, on a host that does not know the
 	// limit for all hosts.
@@ -101,8 +103,10 @@
 	return min(max(slack/float64(hosts), minExtraSendBurst), extraSendBurst)
 }
 
-func newGroup(service string) *Group {
-	return &Group{service: service, extraSends: budget.New(extraSendShare, extraSendBurst), typicalServiceTime: initialServiceTime}
+// newGroup returns an empty Group. ratio is the number of extra sends per first send that
+// all hosts together may make.
+func newGroup(service string, ratio float64) *Group {
+	return &Group{service: service, extraSends: budget.New(extraSendMargin*ratio, extraSendBurst), typicalServiceTime: initialServiceTime}
 }
 
 // Service returns the name of the service.
@@ -145,8 +149,8 @@
 	s.roundTrip = d
 }
 
-// Deposit records the first send of a request. Each first send adds extraSendShare to
-// the budget for extra sends.
+// Deposit records the first send of a request, which adds its share to the budget for
+// extra sends.
 func (g *Group) Deposit() { g.extraSends.Deposit() }
 
 // WithdrawExtraSend takes one extra send out of the budget. It reports false if the
