A host that stops answers every request before its end

Cause: after 3 s the host called Shutdown of net/http. It waits for requests in progress and gives up at the end of the grace period, with no answer to them. From its call on, net/http also drops requests whose last byte comes later. Class: the end of a process is no event for the work in it.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/godwithatch/godwithatch/internal/protocol/tcp"
 )
 
 const (
@@ -58,29 +60,7 @@
 	if c.isExpired(now) || requireFresh && now.Sub(c.lastUsed) > maxFreshIdle {
 		return false
 	}
-	return c.hasNoPendingInput()
-}
-
-// hasNoPendingInput reports whether an idle connection is still open and the server has
-// sent no bytes on it since the last response. It peeks at the socket without blocking.
-func (c *conn) hasNoPendingInput() bool {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		// Connections in tests may have no file descriptor.
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isEmpty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isEmpty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && isEmpty
+	return !tcp.HasInput(c.nc)
 }
 
 // exchange writes a request and reads its response. It also reports whether the
--- a/internal/protocol/tcp/tcp.go
+++ b/internal/protocol/tcp/tcp.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -55,3 +56,25 @@
 	}
 	return err
 }
+
+// HasInput reports whether a read of nc would not wait: the peer has sent bytes that are
+// not yet read, or has closed the connection. It peeks at the socket without blocking. A
+// connection without a file descriptor, as in tests, has no input.
+func HasInput(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	isEmpty := false
+	// Unlike Read of raw, Control does not wait for a pending Read of nc.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		isEmpty = errors.Is(err, syscall.EAGAIN)
+	})
+	return err != nil || !isEmpty
+}
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/catalog"
@@ -117,11 +118,28 @@
 	sender   Sender
 	splitter catalog.Splitter
 	counters Counters
+	// stopping is closed by stop.
+	stopping chan struct{}
+	stop     func()
 }
 
 // New returns an Engine that chooses servers from f and sends through sender.
 func New(f *fleet.Fleet, sender Sender) *Engine {
-	return &Engine{fleet: f, sender: sender}
+	stopping := make(chan struct{})
+	return &Engine{fleet: f, sender: sender, stopping: stopping, stop: sync.OnceFunc(func() { close(stopping) })}
+}
+
+// Stop answers all requests in progress at once, with the replies that have arrived, and
+// refuses all later ones.
+func (e *Engine) Stop() { e.stop() }
+
+func (e *Engine) isStopping() bool {
+	select {
+	case <-e.stopping:
+		return true
+	default:
+		return false
+	}
 }
 
 // Counters returns the counters of the engine.
@@ -140,6 +158,8 @@
 
 func (e *Engine) answer(ctx context.Context, req *Request) *Answer {
 	switch {
+	case e.isStopping():
+		return refusalAnswer(fault.NotReady, minRetryAfter, "this host stops")
 	case !time.Now().Before(req.Deadline):
 		return refusalAnswer(fault.DeadlineExceeded, 0, "the deadline had passed on arrival")
 	case req.Route.IsSharded():
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -38,6 +38,8 @@
 	// errClientDisconnected is the cancellation cause of sends whose client has
 	// disconnected.
 	errClientDisconnected = errors.New("the client has disconnected")
+	// errStopping is the cancellation cause of sends that are pending when this host stops.
+	errStopping = errors.New("this host stops")
 	// errNoServer is the error of a subrequest for which no server had capacity.
 	errNoServer = errors.New("no server has capacity")
 )
@@ -139,10 +141,21 @@
 			r.sendDueExtras(time.Now())
 		case <-ctx.Done():
 			return r.end(failNow, errClientDisconnected)
+		case <-r.engine.stopping:
+			return r.end(r.lastDecision(), errStopping)
 		}
 	}
 }
 
+// lastDecision returns how the run ends if it can't wait any longer: it answers with the
+// replies that have arrived if these suffice after the latency objective.
+func (r *run) lastDecision() decision {
+	if d := r.collector.decide(r.req.Objective); d != keepWaiting {
+		return d
+	}
+	return failNow
+}
+
 // end ends the run and returns d. It cancels pending sends at once if the client has
 // disconnected or the deadline has passed. Otherwise the sends may continue for
 // sendLingerTime. Most sends complete within this time, and their connections can then
