Stand-in server that repeats answers late, in tests and the soak

Why the tests missed the incident: the stand-in server echoed the ID of the request in every answer but a 421, and never sent a copy on a connection that stays open. It can do both now, the soak makes a third of the servers leave out the ID and lets servers repeat answers, and the tests of late copies use it instead of a server of their own.

--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -38,6 +38,7 @@
 		name string
 		do   func()
 	}{
+		{"server repeats answers late", func() { s.repeatLate(u, length) }},
 		{"server fails", func() { s.failServer(u, shardserver.Fault(1+s.rng.IntN(5)), length) }},
 		{"link of a server fails", func() { s.failLink(u, link.Fault(1+s.rng.IntN(4)), length) }},
 		{"connections of a server reset", func() { u.link.Reset() }},
@@ -63,6 +64,12 @@
 	s.failServerWith(u, f, 0.3+0.7*s.rng.Float64(), length)
 }
 
+// repeatLate makes a server send answers again, late, some without the ID of the request.
+func (s *soak) repeatLate(u *upstream, length time.Duration) {
+	u.server.SetRepeatShare(0.3)
+	time.AfterFunc(length, func() { u.server.SetRepeatShare(0) })
+}
+
 // failServerWith applies a failure mode to a share of the requests of a server.
 func (s *soak) failServerWith(u *upstream, f shardserver.Fault, share float64, length time.Duration) {
 	u.server.SetFault(f, share)
@@ -212,6 +219,7 @@
 	s.store.SetFault(metadata.None)
 	for _, u := range s.upstreams {
 		u.server.SetFault(shardserver.None, 0)
+		u.server.SetRepeatShare(0)
 		u.link.SetFault(link.None)
 	}
 }
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -129,6 +129,9 @@
 		address: l.Addr().String(), link: link.New(l),
 	}
 	u.server = shardserver.New(u.id)
+	if i%replicas == 0 {
+		u.server.SetEchoes(func(int) bool { return false })
+	}
 	u.http = &http.Server{Handler: u.server}
 	go u.http.Serve(u.link) //nolint:errcheck // It serves until the soak closes the server.
 	s.mu.Lock()
--- a/tests/standin/shardserver/shardserver.go
+++ b/tests/standin/shardserver/shardserver.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
@@ -74,11 +75,15 @@
 	// the server wants no requests of the host, as it stated in an answer.
 	unwantedSince, unwantedUntil map[string]time.Time
 	unwantedArrivals             int
+	// echoes says whether an answer with a status repeats the Request-Id. repeatShare is the
+	// share of answers that are sent again, late.
+	echoes      func(status int) bool
+	repeatShare float64
 }
 
 // New returns a Server with the instance ID id and without faults.
 func New(id string) *Server {
-	return &Server{id: id, slots: make(chan struct{}, slotCount), runs: map[string]int{}, unwantedSince: map[string]time.Time{}, unwantedUntil: map[string]time.Time{}}
+	return &Server{id: id, slots: make(chan struct{}, slotCount), runs: map[string]int{}, echoes: func(status int) bool { return status != http.StatusMisdirectedRequest }, unwantedSince: map[string]time.Time{}, unwantedUntil: map[string]time.Time{}}
 }
 
 // SetFault applies a failure mode to a share of the requests from now on. The share is
@@ -89,6 +94,22 @@
 	s.fault, s.faultShare = f, share
 }
 
+// SetEchoes sets the statuses of the answers that repeat the Request-Id. Without it, all
+// answers do but those to requests for another instance.
+func (s *Server) SetEchoes(echoes func(status int) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.echoes = echoes
+}
+
+// SetRepeatShare makes the server send a share of its answers again, late: where the answer
+// to the next request on the same connection is expected.
+func (s *Server) SetRepeatShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeatShare = share
+}
+
 // SetDrainingSince sets the time at which the server reported that it is draining.
 // LateArrivals counts the requests that arrive more than drainBound after it.
 func (s *Server) SetDrainingSince(at time.Time) {
@@ -143,8 +164,9 @@
 	}
 }
 
-// state adds to an answer what the server states about the requests that it wants.
-func (s *Server) state(w http.ResponseWriter, address string, isRefusal bool) {
+// state adds to the header of an answer what the server states about the requests that it
+// wants.
+func (s *Server) state(h http.Header, address string, isRefusal bool) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return
@@ -154,11 +176,11 @@
 	defer s.mu.Unlock()
 	d := time.Duration(0)
 	if s.isLeaving {
-		w.Header().Set("Server-Leaving", "1")
+		h.Set("Server-Leaving", "1")
 		d = leavingTime
 	}
 	if isRefusal && s.restTime > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(s.restTime.Seconds(), 'f', -1, 64))
+		h.Set("Retry-After", strconv.FormatFloat(s.restTime.Seconds(), 'f', -1, 64))
 		d = max(d, s.restTime)
 	}
 	if d > 0 && now.Add(d).After(s.unwantedUntil[host]) {
@@ -193,46 +215,112 @@
 // reported that it is draining.
 const drainBound = 4 * time.Second
 
-// recordArrival counts a request that arrives later than drainBound allows, and returns
-// the failure mode to apply to the request.
-func (s *Server) recordArrival() Fault {
+// recordArrival counts a request that arrives later than drainBound allows.
+func (s *Server) recordArrival() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.drainingSince.IsZero() && time.Since(s.drainingSince) > drainBound {
 		s.lateArrivals++
 	}
+}
+
+// drawFault returns the failure mode to apply to a request.
+func (s *Server) drawFault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if rand.Float64() < s.faultShare {
 		return s.fault
 	}
 	return None
 }
 
+// drawRepeat reports whether to repeat an answer.
+func (s *Server) drawRepeat() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.Float64() < s.repeatShare
+}
+
+// answer is an answer of the server.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// appendTo appends the answer as it is sent to b.
+func (a *answer) appendTo(b []byte) []byte {
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.body))
+	for name, values := range a.header {
+		b = fmt.Appendf(b, "%s: %s\r\n", name, values[0])
+	}
+	return append(append(b, "\r\n"...), a.body...)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if target := r.Header.Get("Target-Instance"); target != "" && target != s.id {
-		w.Header().Set("Instance-Id", s.id)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+	fault := s.drawFault()
+	a := s.handle(r, fault)
+	switch {
+	case a == nil:
+		panic(http.ErrAbortHandler)
+	case fault == DuplicateReply && a.status == http.StatusOK:
+		s.sendTwice(w, a)
+	case s.drawRepeat():
+		s.repeatLate(w, a)
+	default:
+		for name, values := range a.header {
+			w.Header()[name] = values
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.WriteHeader(a.status)
+		if _, err := w.Write(a.body); err != nil {
+			return
+		}
 	}
+}
+
+// handle processes a request and returns the answer, or nil if the connection is to be
+// closed without one.
+func (s *Server) handle(r *http.Request, fault Fault) *answer {
 	id := r.Header.Get("Request-Id")
+	a := &answer{status: http.StatusOK, header: http.Header{}}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.echoes(a.status) {
+			a.header.Set("Request-Id", id)
+		}
+	}()
+	if target := r.Header.Get("Target-Instance"); target != "" && target != s.id {
+		a.status = http.StatusMisdirectedRequest
+		a.header.Set("Instance-Id", s.id)
+		return a
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		return nil
 	}
-	w.Header().Set("Request-Id", id)
-	fault := s.recordArrival()
+	s.recordArrival()
 	s.recordUnwanted(r.RemoteAddr)
 	if fault == Shed || !s.acquireSlot(r) {
-		s.state(w, r.RemoteAddr, true)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		a.status = http.StatusServiceUnavailable
+		s.state(a.header, r.RemoteAddr, true)
+		a.header.Set("Not-Executed", "1")
+		return a
 	}
 	defer func() { <-s.slots }()
 	s.mu.Lock()
 	s.runs[id+" "+r.RequestURI]++
 	s.mu.Unlock()
-	s.reply(w, r, id, body, fault)
+	if !s.work(r, fault) {
+		return nil
+	}
+	a.body = s.records(id)
+	a.header.Set("Server-Signature", s.Signature(id))
+	a.header.Set("Body-Length", strconv.Itoa(len(body)))
+	s.state(a.header, r.RemoteAddr, false)
+	return a
 }
 
 // acquireSlot acquires a slot and reports true, or reports false if none becomes free
@@ -249,55 +337,74 @@
 	return false
 }
 
-// reply waits until the request would have been executed, applies the failure mode and
-// writes the answer.
-func (s *Server) reply(w http.ResponseWriter, r *http.Request, id string, body []byte, fault Fault) {
+// work waits until the request would have been executed. It reports false if the request
+// gets no answer.
+func (s *Server) work(r *http.Request, fault Fault) bool {
 	work := workTime
 	if fault == Slow {
 		work *= 10
 	}
 	if !pause.For(r.Context(), work) {
-		return
+		return false
 	}
-	switch fault {
-	case Hang:
+	if fault == Hang {
 		<-r.Context().Done()
-		return
-	case LoseReply:
-		panic(http.ErrAbortHandler)
+		return false
 	}
-	text := s.records(id)
-	w.Header().Set("Server-Signature", s.Signature(id))
-	w.Header().Set("Body-Length", strconv.Itoa(len(body)))
-	if fault == DuplicateReply {
-		s.sendTwice(w, id, text)
+	return fault != LoseReply
+}
+
+// sendTwice writes the answer and a copy of it, which the client did not request, and
+// closes the connection.
+func (s *Server) sendTwice(w http.ResponseWriter, a *answer) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		return
 	}
-	s.state(w, r.RemoteAddr, false)
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	if _, err := w.Write(text); err != nil {
+	defer nc.Close()
+	if _, err := nc.Write(a.appendTo(a.appendTo(nil))); err != nil {
 		return
 	}
+	time.Sleep(workTime)
 }
 
-// sendTwice writes the answer and a copy of it, which the client did not request, and
-// closes the connection.
-func (s *Server) sendTwice(w http.ResponseWriter, id string, text []byte) {
+// repeatLate writes the answer. It then serves the connection until the client closes it.
+// Each copy precedes the answer to the next request. The modes DuplicateReply and Hang are
+// not applied.
+func (s *Server) repeatLate(w http.ResponseWriter, a *answer) {
 	nc, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer nc.Close()
-	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + s.Signature(id) +
-		"\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n"
-	for range 2 {
-		buffered.WriteString(head) //nolint:errcheck // Flush returns the error.
-		buffered.Write(text)       //nolint:errcheck // Flush returns the error.
-	}
-	if err := buffered.Flush(); err != nil {
+	late := a.appendTo(nil)
+	if _, err := nc.Write(late); err != nil {
 		return
 	}
-	time.Sleep(workTime)
+	for {
+		r, err := http.ReadRequest(buffered.Reader)
+		if err != nil {
+			return
+		}
+		r.RemoteAddr = nc.RemoteAddr().String()
+		fault := s.drawFault()
+		if fault == Hang {
+			// Nothing tells that the client has closed this connection.
+			fault = LoseReply
+		}
+		a := s.handle(r, fault)
+		if a == nil {
+			return
+		}
+		own := a.appendTo(nil)
+		if _, err := nc.Write(append(late, own...)); err != nil {
+			return
+		}
+		late = nil
+		if s.drawRepeat() {
+			late = own
+		}
+	}
 }
 
 // Signature returns the signature with which this server proves that it executed the
