Only a success of a shard's server is a part

Change: on a sharded route, an answer that is no success is a failure, as 500 is: another server is asked, and the budget pays.

--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -76,6 +77,20 @@
 	}
 }
 
+// statusError is the status of an answer that is not a success.
+type statusError int
+
+// Error implements error.
+func (e statusError) Error() string { return "the server answered with status " + strconv.Itoa(int(e)) }
+
+// rejectFailedPart makes the answer of a shard's server a failure unless its status is a
+// success. Only a success is a part.
+func (r *Reply) rejectFailedPart() {
+	if r.Outcome == fleet.Answered && r.Status/100 != http.StatusOK/100 {
+		r.Outcome, r.Err = fleet.Failed, statusError(r.Status)
+	}
+}
+
 // isAnswer reports whether the reply is a complete answer of the server.
 func (r *Reply) isAnswer() bool { return r.Outcome == fleet.Answered || r.Outcome == fleet.Failed }
 
--- a/internal/serving/engine/send.go
+++ b/internal/serving/engine/send.go
@@ -23,6 +23,9 @@
 	go func() {
 		growStack()
 		reply := r.engine.sender.Send(r.sendCtx, server, r.req)
+		if r.req.Route.IsSharded() {
+			reply.rejectFailedPart()
+		}
 		now := time.Now()
 		outcome := outcomeOf(r.sendCtx, reply)
 		sub.group.ObserveNotice(server, reply.Notice, now)
--- a/tests/standin/shardserver/shardserver.go
+++ b/tests/standin/shardserver/shardserver.go
@@ -42,6 +42,8 @@
 	Slow
 	// DuplicateReply sends the answer twice on the same connection and then closes it.
 	DuplicateReply
+	// NotFound executes requests and answers with status 404 and the signature.
+	NotFound
 )
 
 const (
@@ -316,6 +318,9 @@
 	if !s.work(r, fault) {
 		return nil
 	}
+	if fault == NotFound {
+		a.status = http.StatusNotFound
+	}
 	a.body = s.records(id)
 	a.header.Set("Server-Signature", s.Signature(id))
 	a.header.Set("Body-Length", strconv.Itoa(len(body)))
