A part of a shard is bounded by what its route can need

Cause: a part had the bound of any body, 16 MiB. Class: a bound for each piece, none for what is held of them.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -148,8 +148,12 @@
 // without an ID the connection is not reused, because a late copy of that response could
 // not be told from the next one.
 func (c *conn) read(call *Call, p *Pool) (*Reply, bool, error) {
+	maxBody := p.opts.MaxBody
+	if call.MaxBody > 0 {
+		maxBody = min(maxBody, call.MaxBody)
+	}
 	for skipped := 0; ; skipped++ {
-		reply, reusable, err := c.readFinalResponse(call, p.opts.MaxBody, &p.memory)
+		reply, reusable, err := c.readFinalResponse(call, maxBody, &p.memory)
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -90,6 +90,9 @@
 	// RequireFresh restricts the exchange to new connections and to connections that were
 	// idle for at most one second.
 	RequireFresh bool
+	// MaxBody is the maximum size of the response body in bytes, if it is less than that of
+	// the pool; 0 means the pool's.
+	MaxBody int64
 	// IdleTimeout is the idle timeout of the connection after this exchange, unless the
 	// server announces a shorter timeout; 0 means 50 s.
 	IdleTimeout time.Duration
--- a/tests/standin/shardserver/shardserver.go
+++ b/tests/standin/shardserver/shardserver.go
@@ -42,6 +42,8 @@
 	Slow
 	// DuplicateReply sends the answer twice on the same connection and then closes it.
 	DuplicateReply
+	// LongBody executes requests and answers with longBodyBytes more than asked for.
+	LongBody
 	// NotFound executes requests and answers with status 404 and the signature.
 	NotFound
 )
@@ -57,6 +59,9 @@
 	// recordCount is the number of records in an answer.
 	recordCount = 3
 	recordBytes = 16
+	// longBodyBytes is more than any answer needs, and less than the largest body that is
+	// read.
+	longBodyBytes = 1 << 20
 )
 
 // Server is the stand-in for one server, an http.Handler. It is safe for concurrent use.
@@ -322,6 +327,9 @@
 		a.status = http.StatusNotFound
 	}
 	a.body = s.records(id)
+	if fault == LongBody {
+		a.body = append(a.body, make([]byte, longBodyBytes)...)
+	}
 	a.header.Set("Server-Signature", s.Signature(id))
 	a.header.Set("Body-Length", strconv.Itoa(len(body)))
 	s.state(a.header, r.RemoteAddr, false)
