Log lines name the fingerprint of a request and the servers that ended under it

The lines could not tell whether the attempts that broke connections were one request, nor whether a server had ended or had lost one answer.

A request line has its fingerprint (method, host, path, credentials, body). After a connection that the server closed, the pool looks whether an idle connection to it is still open, and else opens one: if that is refused, the process has ended. The connection is kept for the next request. Counter servers_ended_total, and 'server ended' in the steps.

--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/godwithatch/godwithatch/internal/protocol/tcp"
 )
 
@@ -40,6 +42,8 @@
 	opts    Options
 	memory  memory
 	matches matchCounters
+	// refusals joins the checks of IsRefusing for the same address.
+	refusals singleflight.Group
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
--- a/internal/serving/engine/counters.go
+++ b/internal/serving/engine/counters.go
@@ -26,6 +26,8 @@
 	// UnpaidSends counts the extra sends that were made without the budget, by the outcome
 	// of the send before.
 	UnpaidSends [fleet.OutcomeCount]atomic.Int64
+	// EndedServers counts the sends during which the process of the server ended.
+	EndedServers atomic.Int64
 	// InFlight is the number of requests in progress.
 	InFlight atomic.Int64
 }
@@ -39,6 +41,8 @@
 	SentAfter, Took time.Duration
 	// Err is the reason why the send brought no answer.
 	Err error
+	// HasEnded means that the process of the server ended during the send.
+	HasEnded bool
 }
 
 // IsPending reports whether the reply was still pending when the client was answered.
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -15,22 +15,29 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/catalog"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
+	"github.com/godwithatch/godwithatch/internal/serving/quarantine"
 	"github.com/godwithatch/godwithatch/modules/fault"
 )
 
 // Request is one attempt of a client to get an answer. Each retry of the client is a new
 // Request.
 type Request struct {
-	ID     string
-	Route  *catalog.Route
-	Method string
+	ID string
+	// Fingerprint is the same for all requests that ask the same on behalf of the same
+	// caller.
+	Fingerprint quarantine.Fingerprint
+	Route       *catalog.Route
+	Method      string
 	// Head is the part of the encoded request head that is the same for all servers. The
 	// adapter encodes it in the form that its Sender expects.
 	Head    []byte
@@ -65,6 +72,9 @@
 	Notice fleet.Notice
 	// Err is the reason why the server gave no answer.
 	Err error
+	// HasEnded means that the connection broke and that the server then refused a new one:
+	// its process has ended.
+	HasEnded bool
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -91,6 +101,15 @@
 	}
 }
 
+// mayHaveEnded reports whether the server closed the connection, which it also does when
+// its process ends.
+func (r *Reply) mayHaveEnded() bool {
+	if r.Outcome != fleet.Broken && r.Outcome != fleet.ConnectionRejected {
+		return false
+	}
+	return errors.Is(r.Err, io.EOF) || errors.Is(r.Err, io.ErrUnexpectedEOF) || errors.Is(r.Err, syscall.ECONNRESET) || errors.Is(r.Err, syscall.EPIPE)
+}
+
 // isAnswer reports whether the reply is a complete answer of the server.
 func (r *Reply) isAnswer() bool { return r.Outcome == fleet.Answered || r.Outcome == fleet.Failed }
 
@@ -98,6 +117,9 @@
 // ctx ends and must not retry by itself.
 type Sender interface {
 	Send(ctx context.Context, s *fleet.Server, req *Request) *Reply
+	// HasEnded reports whether the process of a server has ended whose connection broke
+	// during a send. It takes no longer than a new connection.
+	HasEnded(ctx context.Context, s *fleet.Server) bool
 }
 
 // Answer is the result of a Request, from which the adapter writes the response.
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -274,7 +274,7 @@
 	sub := x.subrequest
 	if x.reply != nil {
 		record := &r.sendRecords[x.sendIndex]
-		record.Outcome, record.Took, record.Err = x.reply.Outcome, x.took, x.reply.Err
+		record.Outcome, record.Took, record.Err, record.HasEnded = x.reply.Outcome, x.took, x.reply.Err, x.reply.HasEnded
 		r.handleReply(sub, x.reply)
 		return
 	}
--- a/internal/serving/engine/send.go
+++ b/internal/serving/engine/send.go
@@ -35,6 +35,10 @@
 			sub.group.ObserveObjective(server, outcome == fleet.Answered && now.Sub(start) <= maxServerTime, now)
 		}
 		r.engine.counters.Sends[outcome].Add(1)
+		if reply.mayHaveEnded() && r.engine.sender.HasEnded(r.sendCtx, server) {
+			reply.HasEnded = true
+			r.engine.counters.EndedServers.Add(1)
+		}
 		r.events <- event{subrequest: sub, reply: reply, sendIndex: sendIndex, took: now.Sub(start)}
 	}()
 }
--- a/internal/serving/engine/simulation_test.go
+++ b/internal/serving/engine/simulation_test.go
@@ -45,6 +45,8 @@
 	// breaksConnection means that the server runs a request and then breaks the
 	// connection instead of replying.
 	breaksConnection bool
+	// hasEnded means that the process of the server ended when the connection broke.
+	hasEnded bool
 	// slowdown is the factor by which the usual service time is multiplied. A factor
 	// below 1 counts as 1.
 	slowdown float64
@@ -156,6 +158,13 @@
 	return sim.serve(ctx, s, b, serviceTime)
 }
 
+// HasEnded implements Sender.
+func (sim *simulation) HasEnded(_ context.Context, s *fleet.Server) bool {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.servers[s.ID()].hasEnded
+}
+
 func (sim *simulation) serve(ctx context.Context, s *fleet.Server, b behaviour, serviceTime time.Duration) *Reply {
 	select {
 	case sim.slots[s.ID()] <- struct{}{}:
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -142,6 +142,7 @@
 				func() float64 { return float64(c.Denied[i].Load()) })
 		}
 	}
+	m.registerCounter("servers_ended_total", "Sends during which the process of the server ended: the connection broke, and a new one was refused.", "", "", func() float64 { return float64(c.EndedServers.Load()) })
 	m.registerGauge("requests_in_flight", "Requests under way.", func() float64 { return float64(c.InFlight.Load()) })
 }
 
