A query is copied to a server to measure it only after an answer

What callers saw: one query that crashes the servers that run it ended two servers of a group, where one may (KNOWN-RED, TestRequestThatCrashesServers, once).

Cause: sendProbe sent a copy of the first attempt at once to a server of the shard that was slow or had just started. Class: a request is given to further servers before anything shows that it is harmless.

--- a/services/query/shard.go
+++ b/services/query/shard.go
@@ -68,6 +68,9 @@
 			s.pending--
 			if r.err == nil {
 				s.fanOut.crashDetector.recordSuccess()
+				if s.fanOut.route.IsIdempotent() && s.attempts == 1 {
+					s.sendProbe(ctx, r.tracker)
+				}
 				return r.answer, nil
 			}
 			if err := s.handleFailure(ctx, r); err != nil {
@@ -82,17 +85,12 @@
 }
 
 // send waits, if necessary, for a server with capacity and starts an attempt on it.
-// With the first attempt of an idempotent query, it also sends a probe (a copy that
-// measures another server) if one is due.
 func (s *shardRun) send(ctx context.Context) error {
 	choice, err := s.chooseServer(ctx)
 	if err != nil {
 		return err
 	}
 	s.startAttempt(ctx, choice)
-	if s.fanOut.route.IsIdempotent() && s.attempts == 1 {
-		s.sendProbe(ctx, choice.Tracker())
-	}
 	return nil
 }
 
@@ -159,8 +157,9 @@
 
 // sendProbe sends a copy of the request to another server if that server is due
 // for a probe: its request limit is still growing, or it is much slower than the
-// others. The copy is not cancelled when another attempt answers first, because
-// its purpose is to measure the server.
+// others. The copy follows the answer of the first attempt, because a request that no
+// server has answered may crash those that run it. It is not cancelled when the query
+// ends, because its purpose is to measure the server.
 func (s *shardRun) sendProbe(ctx context.Context, exclude *balance.Tracker) {
 	choice, ok := s.fanOut.snapshot.ChooseProbe(s.shard, exclude)
 	if !ok {
