--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 endif
 
 process: ## Tests that run separate processes.
-	go run ./tests/known -count=1 -timeout 15m ./tests/process/...
+	go run ./tests/known -count=1 -p 1 -timeout 15m ./tests/process/...
 
 SEED ?= 1
 SECONDS ?= 10
