The table of last successes is a module of its own

services/query has a table that remembers when each request last succeeded, in fixed memory. Nothing else changes.

--- a/services/query/quarantine.go
+++ b/services/query/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwithatch/godwithatch/modules/fault"
 	"github.com/godwithatch/godwithatch/modules/pause"
+	"github.com/godwithatch/godwithatch/modules/recency"
 )
 
 const (
@@ -39,7 +40,7 @@
 // empty and ready to use.
 type Quarantine struct {
 	suspectCount atomic.Int64
-	successes    successTable
+	successes    recency.Table
 	mu           sync.Mutex
 	suspects     map[uint64]*crashRecord
 }
@@ -56,7 +57,7 @@
 	if s == nil {
 		return false
 	}
-	if time.Since(s.lastCrash) > quarantineDuration || q.successes.hasSucceededSince(fingerprint, s.lastCrash) {
+	if time.Since(s.lastCrash) > quarantineDuration || q.successes.HasSince(fingerprint, s.lastCrash) {
 		q.remove(fingerprint)
 		return false
 	}
@@ -75,7 +76,7 @@
 // if the request succeeded through this host after the crash.
 func (q *Quarantine) Merge(s Suspect) bool {
 	crashedAt := time.Now().Add(-time.Duration(s.AgeMS) * time.Millisecond)
-	if s.AgeMS < 0 || s.AgeMS > quarantineDuration.Milliseconds() || q.successes.hasSucceededSince(s.Fingerprint, crashedAt) {
+	if s.AgeMS < 0 || s.AgeMS > quarantineDuration.Milliseconds() || q.successes.HasSince(s.Fingerprint, crashedAt) {
 		return false
 	}
 	q.mu.Lock()
@@ -108,7 +109,7 @@
 // RecordSuccess records that a request completed on some server and removes it
 // from the suspects, because a request that crashes servers never completes.
 func (q *Quarantine) RecordSuccess(fingerprint uint64) {
-	q.successes.record(fingerprint)
+	q.successes.Record(fingerprint)
 	if q.suspectCount.Load() == 0 {
 		return
 	}
