Tests of the engine read their counts under the lock

The tests read and cleared the counts without the lock of the simulation; now they take it. Two lint findings of the new tests mended.

--- a/internal/serving/engine/engine_test.go
+++ b/internal/serving/engine/engine_test.go
@@ -31,7 +31,7 @@
 		if result.whole < 784 || result.lost > 0 {
 			t.Fatalf("%d whole, %d partial, %d late, %d lost of 800; want 98 %% whole", result.whole, result.partial, result.late, result.lost)
 		}
-		for service, n := range sim.arrivals {
+		for service, n := range sim.countsOf(sim.arrivals) {
 			if n > 800+800*15/100+3 {
 				t.Fatalf("%s got %d sends for 800 requests", service, n)
 			}
@@ -75,12 +75,12 @@
 			sim.setBehaviour(behaviour{shedShare: 0.6}, serverID(shard, shard%2))
 		}
 		sim.runLoad(t, e, 40, 2*time.Second, shardedRoute(1))
-		clear(sim.arrivals)
+		sim.clearArrivals()
 		result := sim.runLoad(t, e, 40, 10*time.Second, shardedRoute(1))["sweep1"]
 		if result.whole+result.partial < 396 {
 			t.Fatalf("%d whole, %d partial, %d late, %d lost of 400; want 99 %% in time", result.whole, result.partial, result.late, result.lost)
 		}
-		for service, n := range sim.arrivals {
+		for service, n := range sim.countsOf(sim.arrivals) {
 			if n > 400+400*16/100 {
 				t.Fatalf("%s got %d sends for 400 requests, more than 0.8 of the budget", service, n)
 			}
@@ -100,7 +100,7 @@
 			}
 		}
 		sim.runLoad(t, e, 40, 10*time.Second, shardedRoute(1))
-		for service, n := range sim.arrivals {
+		for service, n := range sim.countsOf(sim.arrivals) {
 			if n > 400+400*16/100+testBurst {
 				t.Fatalf("%s got %d sends for 400 requests", service, n)
 			}
@@ -123,7 +123,7 @@
 			sim.restart(int64(round))
 			e.Run(t.Context(), newTestRequest(shardedRoute(1)))
 		}
-		for service, n := range sim.extras {
+		for service, n := range sim.countsOf(sim.extras) {
 			if n > rounds*20/100+testBurst {
 				t.Errorf("%s got %d sends beyond the first of %d requests", service, n, rounds)
 			}
@@ -147,13 +147,13 @@
 		sim.setBehaviour(behaviour{isSilent: true}, serverID(4, 0), serverID(4, 1), serverID(4, 2), serverID(5, 1), serverID(5, 2))
 		sim.setBehaviour(behaviour{slowdown: 6}, serverID(5, 0))
 		sim.runLoad(t, e, 100, 3*time.Second, shardedRoute(1))
-		clear(sim.arrivals)
+		sim.clearArrivals()
 		result := sim.runLoad(t, e, 100, 5*time.Second, shardedRoute(1))["sweep1"]
 		// Three slots, each busy for 90 ms with one request, serve 33 requests a second.
 		if good := result.whole + result.partial; good < 100 {
 			t.Fatalf("%d answered in time, %d late, %d refused or lost of 500; want 60 %% of the capacity of the slow server", good, result.late, result.lost)
 		}
-		if n := sim.arrivals[serviceName(0)]; n > 250 {
+		if n := sim.countsOf(sim.arrivals)[serviceName(0)]; n > 250 {
 			t.Fatalf("a healthy shard got %d sends for 500 requests, most of which could not be answered", n)
 		}
 	})
@@ -271,8 +271,8 @@
 			sim.setBehaviour(behaviour{refusesAll: true}, serverID(0, dataCentre))
 		}
 		a := e.Run(t.Context(), newTestRequest(forwardRoute(true, 1)))
-		if sim.arrivals[serviceName(0)] != 1 || a.Fault == nil || a.Fault.Outcome() != fault.NotRun || a.RetryAfter == 0 {
-			t.Fatalf("%d sends, fault %v, retry after %s; want 1 send, not run, with a retry time", sim.arrivals[serviceName(0)], a.Fault, a.RetryAfter)
+		if sim.countsOf(sim.arrivals)[serviceName(0)] != 1 || a.Fault == nil || a.Fault.Outcome() != fault.NotRun || a.RetryAfter == 0 {
+			t.Fatalf("%d sends, fault %v, retry after %s; want 1 send, not run, with a retry time", sim.countsOf(sim.arrivals)[serviceName(0)], a.Fault, a.RetryAfter)
 		}
 	})
 }
--- a/internal/serving/engine/simulation_test.go
+++ b/internal/serving/engine/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -128,6 +129,20 @@
 	}
 }
 
+// countsOf returns a copy of one of the counts. Sends may still be under way after the
+// answers to their requests.
+func (sim *simulation) countsOf(counts map[string]int) map[string]int {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return maps.Clone(counts)
+}
+
+func (sim *simulation) clearArrivals() {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	clear(sim.arrivals)
+}
+
 var errConnectionBroke = errors.New("the connection broke")
 
 // Send implements Sender.
--- a/tests/process/front/deployment_test.go
+++ b/tests/process/front/deployment_test.go
@@ -178,7 +178,7 @@
 		close(ended)
 	}()
 	d.t.Cleanup(func() {
-		cmd.Process.Kill()
+		cmd.Process.Kill() //nolint:errcheck // It may have ended already.
 		<-ended
 	})
 }
--- a/tests/proof/crashes_test.go
+++ b/tests/proof/crashes_test.go
@@ -32,7 +32,7 @@
 			// The probes of a slow server are a second apart.
 			time.Sleep(5 * time.Second)
 			payload := fmt.Sprintf(`{"poison":%d}`, i)
-			w.Submit(i%hostCount, "main", "", payload, time.Second)
+			_, _ = w.Submit(i%hostCount, "main", "", payload, time.Second)
 			for group := range 3 {
 				crashed := 0
 				for replica := range 3 {
