A request that ends the servers that run it is held back by all hosts

Cause: nothing on the platform's path remembered what a request had done. Each attempt began anew at each host, with all its extra sends. Class: a decision that needs the memory of all hosts is taken by each attempt alone.

Change: internal/serving/quarantine. Three servers that ended in two attempts, without an answer of their service, hold the request back at all hosts; suspicions add up at two hosts chosen by the fingerprint; verdicts go to all hosts and to the store. An answer of the service at any host ends the term. One attempt ends at most two servers of a service, and one server beyond the first of each shard before some server has answered. docs/design/0012 has the reasons.

--- a/internal/routing/fleet/server.go
+++ b/internal/routing/fleet/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -159,6 +160,12 @@
 // ID returns the identity of the server.
 func (s *Server) ID() string { return s.entry().ID }
 
+// Incarnation identifies the start of the server among all starts of all servers.
+func (s *Server) Incarnation() string {
+	e := s.entry()
+	return e.ID + "/" + strconv.FormatInt(e.StartUnixMs, 36)
+}
+
 // Address returns the host and port of the server.
 func (s *Server) Address() string { return s.entry().Address }
 
--- a/internal/serving/engine/counters.go
+++ b/internal/serving/engine/counters.go
@@ -26,6 +26,8 @@
 	// UnpaidSends counts the extra sends that were made without the budget, by the outcome
 	// of the send before.
 	UnpaidSends [fleet.OutcomeCount]atomic.Int64
+	// Held counts the refused requests that are held back because they end servers.
+	Held atomic.Int64
 	// EndedServers counts the sends during which the process of the server ended.
 	EndedServers atomic.Int64
 	// InFlight is the number of requests in progress.
--- a/internal/serving/engine/denial_enumer.go
+++ b/internal/serving/engine/denial_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DenialName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budgetno_server"
+const _DenialName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budgetsuspectedheldno_server"
 
-var _DenialIndex = [...]uint8{0, 10, 24, 35, 42, 49, 58, 67}
+var _DenialIndex = [...]uint8{0, 10, 24, 35, 42, 49, 58, 67, 71, 80}
 
-const _DenialLowerName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budgetno_server"
+const _DenialLowerName = "not_deniednot_idempotentno_attemptsno_timeno_roomno_budgetsuspectedheldno_server"
 
 func (i Denial) String() string {
 	if i < 0 || i >= Denial(len(_DenialIndex)-1) {
@@ -30,10 +30,12 @@
 	_ = x[NoTime-(3)]
 	_ = x[NoRoom-(4)]
 	_ = x[NoBudget-(5)]
-	_ = x[NoServer-(6)]
+	_ = x[Suspected-(6)]
+	_ = x[Held-(7)]
+	_ = x[NoServer-(8)]
 }
 
-var _DenialValues = []Denial{NotDenied, NotIdempotent, NoAttempts, NoTime, NoRoom, NoBudget, NoServer}
+var _DenialValues = []Denial{NotDenied, NotIdempotent, NoAttempts, NoTime, NoRoom, NoBudget, Suspected, Held, NoServer}
 
 var _DenialNameToValueMap = map[string]Denial{
 	_DenialName[0:10]:  NotDenied,
@@ -42,7 +44,9 @@
 	_DenialName[35:42]: NoTime,
 	_DenialName[42:49]: NoRoom,
 	_DenialName[49:58]: NoBudget,
-	_DenialName[58:67]: NoServer,
+	_DenialName[58:67]: Suspected,
+	_DenialName[67:71]: Held,
+	_DenialName[71:80]: NoServer,
 }
 
 var _DenialLowerNameToValueMap = map[string]Denial{
@@ -52,7 +56,9 @@
 	_DenialLowerName[35:42]: NoTime,
 	_DenialLowerName[42:49]: NoRoom,
 	_DenialLowerName[49:58]: NoBudget,
-	_DenialLowerName[58:67]: NoServer,
+	_DenialLowerName[58:67]: Suspected,
+	_DenialLowerName[67:71]: Held,
+	_DenialLowerName[71:80]: NoServer,
 }
 
 var _DenialNames = []string{
@@ -63,6 +69,8 @@
 	_DenialName[42:49],
 	_DenialName[49:58],
 	_DenialName[58:67],
+	_DenialName[67:71],
+	_DenialName[71:80],
 }
 
 // DenialString retrieves an enum value from the enum constants string name.
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -155,6 +155,8 @@
 	sender   Sender
 	splitter catalog.Splitter
 	counters Counters
+	// quarantine holds the requests that end the servers that run them.
+	quarantine quarantine.Table
 	// stopping is closed by stop.
 	stopping chan struct{}
 	stop     func()
@@ -179,6 +181,9 @@
 	}
 }
 
+// Quarantine returns the requests that this host holds back.
+func (e *Engine) Quarantine() *quarantine.Table { return &e.quarantine }
+
 // Counters returns the counters of the engine.
 func (e *Engine) Counters() *Counters { return &e.counters }
 
@@ -199,6 +204,9 @@
 		return refusalAnswer(fault.NotReady, minRetryAfter, "this host stops")
 	case !time.Now().Before(req.Deadline):
 		return refusalAnswer(fault.DeadlineExceeded, 0, "the deadline had passed on arrival")
+	case e.quarantine.HoldTime(req.Fingerprint) > 0:
+		e.counters.Held.Add(1)
+		return refusalAnswer(fault.RequestQuarantined, e.quarantine.HoldTime(req.Fingerprint), "requests with this fingerprint end the servers that run them")
 	case req.Route.IsSharded():
 		return e.gather(ctx, req)
 	default:
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
@@ -40,6 +41,9 @@
 	errClientDisconnected = errors.New("the client has disconnected")
 	// errStopping is the cancellation cause of sends that are pending when this host stops.
 	errStopping = errors.New("this host stops")
+	// errHeld is the error of a subrequest that waited for a server until its request was
+	// held back.
+	errHeld = errors.New("the request ends servers")
 	// errNoServer is the error of a subrequest for which no server had capacity.
 	errNoServer = errors.New("no server has capacity")
 )
@@ -68,6 +72,8 @@
 	// the send to its reply.
 	sendIndex int
 	took      time.Duration
+	// isExtra means that the send was not the first one of its subrequest.
+	isExtra bool
 }
 
 // run processes one request in one event loop. It has one subrequest for each service
@@ -87,6 +93,12 @@
 	// answered is the number of subrequests that have an answer.
 	answered    int
 	sendRecords []SendRecord
+	// attempt identifies this attempt of the client in the evidence against its request.
+	attempt uint64
+	// endedServers is the number of servers that ended during a send, and extraEnded the
+	// number of those that ended during an extra send. extraPending is the number of extra
+	// sends without a reply.
+	endedServers, extraEnded, extraPending int
 	// waiting is the number of subrequests that wait for a server with capacity.
 	waiting int
 }
@@ -98,7 +110,7 @@
 	sendCtx, cancel := context.WithCancelCause(sendCtx)
 	r := &run{
 		engine: e, req: req, collector: collector, subrequests: make([]subrequest, len(services)), sendCtx: sendCtx, sendRecords: make([]SendRecord, 0, len(services)+len(services)/4+1),
-		events: make(chan event, (maxSends+1)*len(services)), start: time.Now(),
+		events: make(chan event, (maxSends+1)*len(services)), start: time.Now(), attempt: rand.Uint64(),
 		cancel: func(cause error) {
 			cancel(cause)
 			stop()
@@ -275,15 +287,21 @@
 	if x.reply != nil {
 		record := &r.sendRecords[x.sendIndex]
 		record.Outcome, record.Took, record.Err, record.HasEnded = x.reply.Outcome, x.took, x.reply.Err, x.reply.HasEnded
+		r.countEnded(x)
 		r.handleReply(sub, x.reply)
 		return
 	}
 	r.waiting--
-	if x.server == nil {
+	switch {
+	case x.server == nil:
 		r.finish(sub, &Reply{Outcome: fleet.Unreachable, Err: errNoServer})
-		return
+	case r.isHeld():
+		sub.group.ReleaseUnused(x.server)
+		sub.denied = Held
+		r.finish(sub, &Reply{Outcome: fleet.Unreachable, Err: errHeld})
+	default:
+		r.send(sub, x.server)
 	}
-	r.send(sub, x.server)
 }
 
 // handleReply ends the subrequest if the reply is an answer. Otherwise it tries to make
@@ -323,7 +341,7 @@
 // the maximum wait has passed, it schedules another try. Otherwise it ends the
 // subrequest.
 func (r *run) retryOrFinish(sub *subrequest, now time.Time) {
-	if sub.isDenialTemporary() && now.Before(r.start.Add(r.maxWait())) {
+	if sub.isDenialTemporary() && !r.isStuck(sub) && now.Before(r.start.Add(r.maxWait())) {
 		sub.nextSendAt = now.Add(extraSendRetryInterval)
 		return
 	}
@@ -367,6 +385,9 @@
 	if d := sub.denialReason(r.req, now); d != NotDenied {
 		return d
 	}
+	if d := r.crashDenial(sub); d != NotDenied {
+		return d
+	}
 	server := sub.group.Pick(now, r.serverFilter(sub))
 	switch {
 	case server != nil:
--- a/internal/serving/engine/send.go
+++ b/internal/serving/engine/send.go
@@ -16,6 +16,10 @@
 	sub.pending++
 	sub.sends++
 	sub.attempts++
+	isExtra := sub.sends > 1
+	if isExtra {
+		r.extraPending++
+	}
 	start := time.Now()
 	sub.nextSendAt = start.Add(sub.group.HedgeDelay(server, start))
 	sendIndex := len(r.sendRecords)
@@ -39,7 +43,8 @@
 			reply.HasEnded = true
 			r.engine.counters.EndedServers.Add(1)
 		}
-		r.events <- event{subrequest: sub, reply: reply, sendIndex: sendIndex, took: now.Sub(start)}
+		r.recordEvidence(sub, server, reply)
+		r.events <- event{subrequest: sub, reply: reply, sendIndex: sendIndex, took: now.Sub(start), isExtra: isExtra}
 	}()
 }
 
--- a/internal/serving/engine/simulation_test.go
+++ b/internal/serving/engine/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -46,7 +47,7 @@
 	// breaksConnection means that the server runs a request and then breaks the
 	// connection instead of replying.
 	breaksConnection bool
-	// hasEnded means that the process of the server ended when the connection broke.
+	// hasEnded means that the process of the server ends when it runs a request.
 	hasEnded bool
 	// slowdown is the factor by which the usual service time is multiplied. A factor
 	// below 1 counts as 1.
@@ -202,6 +203,9 @@
 	if !pause.For(ctx, serviceTime) {
 		return silentReply(ctx)
 	}
+	if b.hasEnded {
+		return &Reply{Outcome: fleet.Broken, Err: io.ErrUnexpectedEOF}
+	}
 	if b.breaksConnection {
 		return &Reply{Outcome: fleet.Broken, Err: errConnectionBroke}
 	}
--- a/internal/serving/engine/subrequest.go
+++ b/internal/serving/engine/subrequest.go
@@ -27,6 +27,10 @@
 	NoTime
 	NoRoom
 	NoBudget
+	// Suspected means that servers have ended during sends of the request.
+	Suspected
+	// Held means that the request is held back because it ends servers.
+	Held
 	// NoServer means that every server of the service has been tried, leaves, or wants no
 	// requests until it is too late for an answer in time.
 	NoServer
@@ -50,6 +54,8 @@
 	tried    []*fleet.Server
 	// pending is the number of sends without a reply.
 	pending int
+	// endedServers is the number of servers that ended during a send.
+	endedServers int
 	// sends counts all sends, and attempts only those that may have reached the service.
 	sends    int
 	attempts int
@@ -96,4 +102,6 @@
 
 // isDenialTemporary reports whether an extra send that was denied may be possible
 // later.
-func (s *subrequest) isDenialTemporary() bool { return s.denied == NoRoom || s.denied == NoBudget }
+func (s *subrequest) isDenialTemporary() bool {
+	return s.denied == NoRoom || s.denied == NoBudget || s.denied == Suspected
+}
--- /dev/null
+++ b/internal/serving/quarantine/record.go
@@ -0,0 +1,159 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// minServers is the number of servers that must have ended while they ran a request,
+	// and minAttempts the number of attempts in which that happened, before the request is
+	// held back. Sound requests that run beside a deadly one meet the end of their servers
+	// too, but seldom in two attempts without an answer in between.
+	minServers  = 3
+	minAttempts = 2
+	// maxServices, maxServers and maxAttempts bound the evidence of one request. More
+	// changes no decision.
+	maxServices = 8
+	maxServers  = 2 * minServers
+	maxAttempts = 2 * minAttempts
+)
+
+const (
+	// firstTerm is the time for which a request is held back at first. Each further term,
+	// after a crash that followed the last one, is termGrowth times as long, up to maxTerm.
+	// After a term the request is served again until its next crash, so that a sound
+	// request is not held back for ever.
+	firstTerm  = 2 * time.Minute
+	termGrowth = 5
+	maxTerm    = 24 * time.Hour
+	trialShare = 0.2
+	// suspicionTime is the time for which evidence is kept after the last crash, or after
+	// the end of the last term.
+	suspicionTime = 10 * time.Minute
+)
+
+// evidence is what speaks against a request at one service: the servers that ended while
+// they ran it, and the attempts in which they did, since the service last answered it.
+type evidence struct {
+	servers  []string
+	attempts []uint64
+	since    time.Time
+}
+
+// merge adds what o holds and reports whether anything was new.
+func (e *evidence) merge(o evidence) bool {
+	n := len(e.servers) + len(e.attempts)
+	e.servers = union(e.servers, o.servers, maxServers)
+	e.attempts = union(e.attempts, o.attempts, maxAttempts)
+	if e.since.IsZero() || o.since.Before(e.since) {
+		e.since = o.since
+	}
+	return len(e.servers)+len(e.attempts) > n
+}
+
+// union adds those elements of b to a that it lacks, until a has limit elements.
+func union[T comparable](a, b []T, limit int) []T {
+	for _, x := range b {
+		if len(a) < limit && !slices.Contains(a, x) {
+			a = append(a, x)
+		}
+	}
+	return a
+}
+
+// record is what is known of one request.
+type record struct {
+	services map[string]*evidence
+	// changedAt is the time at which the record was created or last changed.
+	changedAt time.Time
+	// heldUntil is the end of the current or last term, and terms the number of terms.
+	heldUntil time.Time
+	terms     int
+	// isUntold means that other hosts have not been told of a change, which happened at
+	// untoldSince. isOwnVerdict means that this host began the current term.
+	isUntold     bool
+	untoldSince  time.Time
+	isOwnVerdict bool
+	// isTold means that other hosts know the request.
+	isTold bool
+}
+
+// add adds evidence from a service and reports whether anything was new.
+func (r *record) add(service string, e evidence) bool {
+	known := r.services[service]
+	if known == nil {
+		if len(r.services) == maxServices {
+			return false
+		}
+		known = &evidence{}
+		r.services[service] = known
+	}
+	return known.merge(e)
+}
+
+// isConvincing reports whether the evidence suffices to hold the request back.
+func (r *record) isConvincing() bool {
+	var attempts []uint64
+	servers := 0
+	for _, e := range r.services {
+		attempts = union(attempts, e.attempts, minAttempts)
+		servers += len(e.servers)
+	}
+	return len(attempts) >= minAttempts && servers >= minServers
+}
+
+// isOnTrial reports whether the request is served again after a term, until its next crash.
+func (r *record) isOnTrial(now time.Time) bool { return r.terms > 0 && !now.Before(r.heldUntil) }
+
+// isUrgent reports whether a further attempt would suffice to hold the request back.
+func (r *record) isUrgent() bool {
+	servers := 0
+	for _, e := range r.services {
+		servers += len(e.servers)
+	}
+	return servers >= minServers
+}
+
+// judge begins a term if the evidence suffices, or if the request was on trial. It reports
+// whether a term began.
+func (r *record) judge(now time.Time) bool {
+	if now.Before(r.heldUntil) || !r.isOnTrial(now) && !r.isConvincing() {
+		return false
+	}
+	r.heldUntil = now.Add(termOf(r.terms))
+	r.terms++
+	return true
+}
+
+// hold takes over a term that another host began. This host's lasts up to trialShare longer,
+// so that not all hosts put the request on trial at once.
+func (r *record) hold(now time.Time, left time.Duration, terms int) {
+	left += time.Duration(trialShare * rand.Float64() * float64(left))
+	if until := now.Add(left); until.After(r.heldUntil) {
+		r.heldUntil = until
+	}
+	r.terms = max(r.terms, min(terms, maxTermSteps), 1)
+}
+
+// termOf returns the length of the term that follows the given number of terms.
+func termOf(terms int) time.Duration {
+	term := firstTerm
+	for range min(terms, maxTermSteps) {
+		term *= termGrowth
+	}
+	return min(term, maxTerm)
+}
+
+// maxTermSteps is the number of terms after which a term is no longer than maxTerm.
+const maxTermSteps = 5
+
+// isExpired reports whether the record no longer matters.
+func (r *record) isExpired(now time.Time) bool {
+	last := r.changedAt
+	if r.heldUntil.After(last) {
+		last = r.heldUntil
+	}
+	return now.Sub(last) > suspicionTime
+}
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -23,6 +23,7 @@
 	"github.com/godwithatch/godwithatch/internal/protocol/http1"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/internal/serving/engine"
+	"github.com/godwithatch/godwithatch/internal/serving/quarantine"
 	"github.com/godwithatch/godwithatch/internal/telemetry/logwriter"
 )
 
@@ -54,6 +55,8 @@
 	// UnreadableEntries returns the number of entries in answers of the store that could
 	// not be read.
 	UnreadableEntries func() int64
+	// Quarantine holds the requests that are held back because they end servers.
+	Quarantine *quarantine.Table
 	// ConfigVersion returns the version of the configuration in force, or 0 if there is
 	// none.
 	ConfigVersion func() int64
@@ -158,6 +161,9 @@
 		_, resting := s.Fleet.NoticeCounts(time.Now())
 		return float64(resting)
 	})
+	m.registerGauge("quarantined_requests", "Requests, by what they ask, that are held back because they end servers.", func() float64 { return float64(s.Quarantine.Held()) })
+	m.registerCounter("quarantine_terms_total", "Times that this host judged that a request must be held back.", "", "", func() float64 { return float64(s.Quarantine.Terms()) })
+	m.registerCounter("quarantined_total", "Refused requests that were held back.", "", "", func() float64 { return float64(s.Engine.Held.Load()) })
 	m.registerGauge("server_connections", "Open connections to servers.", func() float64 { return float64(s.Connections()) })
 	for _, match := range http1.MatchValues() {
 		m.registerCounter("server_responses_total", "Responses of servers by their match to the request.", "match", match.String(), func() float64 { return float64(s.Responses(match)) })
--- a/tests/process/front/deployment_test.go
+++ b/tests/process/front/deployment_test.go
@@ -189,15 +189,6 @@
 	<-p.ended
 }
 
-func (p *process) hasEnded() bool {
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 func (d *deployment) awaitReady(p *process) {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		resp, err := http.Get("http://" + p.ip + ":8081/godwithatch/readyz")
