Tests with crowds of clients that do not behave

Checked: the process lives, its peak resident memory and its descriptors stay within the host's limits, ordinary requests are answered, and the largest allowed requests are served in calm. No times and no shares. Crowd and bounds are fixed before any change of the product.

An empty line before a request gets 400. The other cases pass.

--- a/tests/process/front/deployment_test.go
+++ b/tests/process/front/deployment_test.go
@@ -62,6 +62,8 @@
 	settings string
 	limits   limits
 	storeURL string
+	// maxDescriptors is the limit on the descriptors of each front; 0 for that of the test.
+	maxDescriptors int
 }
 
 // process is one front.
@@ -167,6 +169,10 @@
 	}
 	defer log.Close()
 	cmd := exec.CommandContext(context.Background(), binary, "front", "--settings", p.path)
+	if d.maxDescriptors > 0 {
+		limit := fmt.Sprintf("ulimit -n %d && exec %q front --settings %q", d.maxDescriptors, binary, p.path)
+		cmd = exec.CommandContext(context.Background(), "sh", "-c", limit)
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		d.t.Fatal(err)
@@ -189,6 +195,15 @@
 	<-p.ended
 }
 
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *deployment) awaitReady(p *process) {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		resp, err := http.Get("http://" + p.ip + ":8081/godwithatch/readyz")
