Clients that do not behave are bounded before net/http parses what they send

What callers saw: a process ran out of memory under requests of legal size with very many short header lines, heads and empty lines without end, and many large bodies, most of them held open just short of their end.

Cause: nothing bounded what all clients together make a host hold. net/http parses a head into a map before any handler runs (16 KiB of short lines become 1 MB); bodies were read with a doubling buffer, without a common bound; connections were taken until descriptors ran out. Class: a bound for each request, none for their sum.

Change: internal/protocol/httpguard holds a head back until it is whole, within the limits, and there is memory for what it becomes (1/16 of the host's memory for unusual ones; usual ones reserve nothing); it follows the framing of bodies, so that it sees each head. Bodies of over 4 KiB take from 1/8 of the memory as their bytes arrive, else 503. Beyond a number of connections that the descriptors and the memory allow, the one without a request for longest is closed.

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,8 @@
 	go test -run '^$$' -fuzz=FuzzNews -fuzztime=60s ./platform
 	go test -run '^$$' -fuzz=FuzzPage -fuzztime=60s ./platform
 	go test -run '^$$' -fuzz=FuzzResponse -fuzztime=60s ./internal/protocol/http1
+	go test -run '^$$' -fuzz=FuzzSuspects -fuzztime=60s ./platform
+	go test -run '^$$' -fuzz=FuzzGuard -fuzztime=60s -fuzzminimizetime=10x ./internal/protocol/httpguard
 	go test -fuzz=FuzzMessage -fuzztime=60s ./services/peer
 
 demo: ## Run a small deployment as separate processes.
--- a/cmd/front.go
+++ b/cmd/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/godwithatch/godwithatch/internal/telemetry/logwriter"
@@ -11,6 +12,11 @@
 	"github.com/godwithatch/godwithatch/platform"
 )
 
+// heapShare is the share of the memory of a host from which on the runtime collects garbage
+// more often. The rest is for the buffers of the system and for what the runtime does not
+// count.
+const heapShare = 0.6
+
 type frontCommand struct {
 	Settings string `help:"File with the platform's settings; by default the one that the platform names." type:"path"`
 	LogLevel string `help:"Least level of log lines." default:"info" enum:"debug,info,warn,error"`
@@ -29,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(limit)))
+	}
 	out := logwriter.New(o.w, logwriter.Options{})
 	defer out.Close()
 	log := logging.New(out, c.LogLevel, settings.Host())
--- a/internal/protocol/tcp/tcp.go
+++ b/internal/protocol/tcp/tcp.go
@@ -59,8 +59,12 @@
 
 // HasInput reports whether a read of nc would not wait: the peer has sent bytes that are
 // not yet read, or has closed the connection. It peeks at the socket without blocking. A
-// connection without a file descriptor, as in tests, has no input.
+// connection without a file descriptor, as in tests, has no input. A connection may have
+// read bytes itself, which its method Buffered then counts.
 func HasInput(nc net.Conn) bool {
+	if b, ok := nc.(interface{ Buffered() int }); ok && b.Buffered() > 0 {
+		return true
+	}
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/godwithatch/godwithatch/internal/protocol/http1"
+	"github.com/godwithatch/godwithatch/internal/protocol/httpguard"
 	"github.com/godwithatch/godwithatch/internal/routing/fleet"
 	"github.com/godwithatch/godwithatch/internal/serving/engine"
 	"github.com/godwithatch/godwithatch/internal/serving/quarantine"
@@ -100,6 +101,12 @@
 	return m
 }
 
+// SetGuard adds the counters of the listener for clients.
+func (m *Metrics) SetGuard(g *httpguard.Listener) {
+	m.registerCounter("client_requests_refused_total", "Requests of clients that exceeded a limit, or for which there was no memory, before they were read.", "", "", func() float64 { return float64(g.Refused()) })
+	m.registerCounter("client_connections_evicted_total", "Connections of clients that were closed because there were too many.", "", "", func() float64 { return float64(g.Evicted()) })
+}
+
 // ObserveRequest records the latency of one request to a route of the given kind.
 func (m *Metrics) ObserveRequest(kind string, took time.Duration) {
 	m.latency.WithLabelValues(kind).Observe(took.Seconds())
--- a/tests/process/front/clients_test.go
+++ b/tests/process/front/clients_test.go
@@ -75,7 +75,9 @@
 			if err != nil {
 				return
 			}
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if err != nil || resp.Close {
 				return
 			}
 		}
