A status that does not exist is no answer

Here: readHead took each status below 200 for an interim response. After 000 without a body the next bytes on the connection became the answer (a 200 in the test); with a body the exchange failed as malformed. 101 was skipped in the same way. 600 and 999 reached the client as they were.

Cause: only one bound of the range was checked, and the wrong one. Now a status outside 100 to 599 (RFC 9110) and a change of protocols fail the exchange; the connection closes, the request may have run. Answers of the store and of other hosts come through the same code.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -195,8 +195,16 @@
 	headRequest    = &http.Request{Method: http.MethodHead}
 )
 
+// minStatus and maxStatus are the least and the greatest status of a response (RFC 9110,
+// section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // readHead reads the head of the next final response. It discards responses with a 1xx
-// status. All these heads together have at most maxHeadBytes.
+// status. All these heads together have at most maxHeadBytes. A status that does not exist is
+// an error, and so is a change of protocols, which no request asks for.
 func (c *conn) readHead(call *Call) (*http.Response, error) {
 	req := defaultRequest
 	if call.Method == http.MethodHead {
@@ -209,7 +217,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch status := resp.StatusCode; {
+		case status < minStatus, status > maxStatus, status == http.StatusSwitchingProtocols:
+			return nil, protocolError("response has the status " + strconv.Itoa(status))
+		case status >= http.StatusOK:
 			return resp, nil
 		}
 	}
