--- a/internal/serving/quarantine/quarantine_test.go
+++ b/internal/serving/quarantine/quarantine_test.go
@@ -227,7 +227,7 @@
 		for attempt := range 3 {
 			table.RecordCrash(deadly, uint64(attempt), "shard0", fmt.Sprint("s", attempt))
 			table.Expire(time.Now())
-			time.Sleep(suspicionTime + time.Second)
+			time.Sleep(SuspicionTime + time.Second)
 			table.Expire(time.Now())
 		}
 		if table.HoldTime(deadly) > 0 {
--- a/internal/serving/quarantine/record.go
+++ b/internal/serving/quarantine/record.go
@@ -29,9 +29,9 @@
 	termGrowth = 5
 	maxTerm    = 24 * time.Hour
 	trialShare = 0.2
-	// suspicionTime is the time for which evidence is kept after the last crash, or after
+	// SuspicionTime is the time for which evidence is kept after the last crash, or after
 	// the end of the last term.
-	suspicionTime = 10 * time.Minute
+	SuspicionTime = 10 * time.Minute
 )
 
 // evidence is what speaks against a request at one service: the servers that ended while
@@ -155,5 +155,5 @@
 	if r.heldUntil.After(last) {
 		last = r.heldUntil
 	}
-	return now.Sub(last) > suspicionTime
+	return now.Sub(last) > SuspicionTime
 }
