--- a/internal/protocol/httpguard/httpguard.go
+++ b/internal/protocol/httpguard/httpguard.go
@@ -40,9 +40,9 @@
 	byteMemory = 3
 	// smallRequest is the memory in bytes up to which a request reserves nothing.
 	smallRequest = 16 << 10
-	// receiveBuffer is the size in bytes of the system's buffer for a connection. With half of it,
-	// acknowledgements are delayed while a body arrives. What lies
-	// there counts as memory of the host too.
+	// receiveBuffer is the size in bytes of the system's buffer for a connection. What lies
+	// there counts as memory of the host too. With half of it, acknowledgements are delayed
+	// while a body arrives.
 	receiveBuffer = 32 << 10
 )
 
