Reading once more: one search for a usable connection, one look at the hold time

acquire and the check of a refusing server searched the idle connections in two loops; popUsable serves both. The engine asked twice for the time for which a request is held back.

--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -84,13 +84,19 @@
 // acquire returns a usable idle connection to address, or a new connection if there is
 // none.
 func (p *Pool) acquire(ctx context.Context, address string, requireFresh bool) (*conn, error) {
+	if c := p.popUsable(address, requireFresh); c != nil {
+		return c, nil
+	}
+	return p.dial(ctx, address)
+}
+
+// popUsable removes and returns a usable idle connection to address, or nil if there is
+// none. It closes the idle connections that it finds unusable.
+func (p *Pool) popUsable(address string, requireFresh bool) *conn {
 	for {
 		c := p.popIdle(address)
-		if c == nil {
-			return p.dial(ctx, address)
-		}
-		if c.isUsable(time.Now(), requireFresh) {
-			return c, nil
+		if c == nil || c.isUsable(time.Now(), requireFresh) {
+			return c
 		}
 		p.discard(c)
 	}
--- a/internal/protocol/http1/refusal.go
+++ b/internal/protocol/http1/refusal.go
@@ -15,7 +15,8 @@
 // after its process has ended. It opens no connection if an idle one shows that the server
 // runs, and keeps the one that it opens. A server that does not answer counts as running.
 func (p *Pool) IsRefusing(ctx context.Context, address string) bool {
-	if p.hasUsableIdle(address) {
+	if c := p.popUsable(address, false); c != nil {
+		p.pushIdle(c)
 		return false
 	}
 	// Many exchanges fail at once if a server ends.
@@ -30,19 +31,3 @@
 	})
 	return refused == true
 }
-
-// hasUsableIdle reports whether an idle connection to address is still open, and closes
-// those that are not.
-func (p *Pool) hasUsableIdle(address string) bool {
-	for {
-		c := p.popIdle(address)
-		if c == nil {
-			return false
-		}
-		if c.isUsable(time.Now(), false) {
-			p.pushIdle(c)
-			return true
-		}
-		p.discard(c)
-	}
-}
--- a/internal/serving/engine/engine.go
+++ b/internal/serving/engine/engine.go
@@ -199,14 +199,15 @@
 }
 
 func (e *Engine) answer(ctx context.Context, req *Request) *Answer {
+	holdTime := e.quarantine.HoldTime(req.Fingerprint)
 	switch {
 	case e.isStopping():
 		return refusalAnswer(fault.NotReady, minRetryAfter, "this host stops")
 	case !time.Now().Before(req.Deadline):
 		return refusalAnswer(fault.DeadlineExceeded, 0, "the deadline had passed on arrival")
-	case e.quarantine.HoldTime(req.Fingerprint) > 0:
+	case holdTime > 0:
 		e.counters.Held.Add(1)
-		return refusalAnswer(fault.RequestQuarantined, e.quarantine.HoldTime(req.Fingerprint), "requests with this fingerprint end the servers that run them")
+		return refusalAnswer(fault.RequestQuarantined, holdTime, "requests with this fingerprint end the servers that run them")
 	case req.Route.IsSharded():
 		return e.gather(ctx, req)
 	default:
