Evidence against a request that is held back reaches all hosts

Callers would have seen a sound request refused by some hosts until the end of its term.

Cause: evidence that a host recorded after a verdict had reached it went to the collectors only. A host without that evidence ignored the answer that speaks against it, and told nobody.

--- a/internal/serving/quarantine/news.go
+++ b/internal/serving/quarantine/news.go
@@ -63,15 +63,17 @@
 		if !r.isUntold {
 			continue
 		}
-		isVerdict := r.isOwnVerdict && now.Before(r.heldUntil)
-		if wait := r.untoldSince.Add(reportDelay).Sub(now); wait > 0 && !isVerdict && !r.isUrgent() {
+		// Evidence against a request that is held back goes to all hosts too: each of them
+		// must know of which services an answer counts.
+		isHeld := now.Before(r.heldUntil)
+		if wait := r.untoldSince.Add(reportDelay).Sub(now); wait > 0 && !isHeld && !r.isUrgent() {
 			if next == 0 || wait < next {
 				next = wait
 			}
 			continue
 		}
-		r.isUntold, r.isTold, r.isOwnVerdict = false, true, false
-		if isVerdict {
+		r.isUntold, r.isTold = false, true
+		if isHeld {
 			news.Verdicts = append(news.Verdicts, reportOf(f, r, now))
 		} else {
 			news.Suspicions = append(news.Suspicions, reportOf(f, r, now))
--- a/internal/serving/quarantine/quarantine.go
+++ b/internal/serving/quarantine/quarantine.go
@@ -129,7 +129,6 @@
 	if !r.judge(now) {
 		return
 	}
-	r.isOwnVerdict = true
 	t.termCount.Add(1)
 	t.markUntold(r, now)
 }
--- a/internal/serving/quarantine/quarantine_test.go
+++ b/internal/serving/quarantine/quarantine_test.go
@@ -192,6 +192,31 @@
 	})
 }
 
+// Servers of another shard end under attempts that were in progress when the request was held
+// back. Answers of both shards at a host that saw none of it end the term everywhere.
+func TestLaterEvidenceReachesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(6)
+		for shard := range 2 {
+			for attempt := range 3 {
+				w.tables[shard].RecordCrash(deadly, uint64(attempt), fmt.Sprint("shard", shard), fmt.Sprintf("s%d-%d", shard, attempt))
+			}
+			w.deliver()
+		}
+		time.Sleep(3 * time.Second)
+		collectors, _ := Collectors(deadly, w.names)
+		other := slices.IndexFunc(w.names, func(name string) bool {
+			return name != w.names[0] && name != w.names[1] && !slices.Contains(collectors, name)
+		})
+		w.tables[other].RecordAnswer(deadly, "shard1")
+		w.tables[other].RecordAnswer(deadly, "shard0")
+		w.deliver()
+		if held := w.heldAt(); len(held) > 0 {
+			t.Fatalf("still held back by hosts %v", held)
+		}
+	})
+}
+
 // After each term the request is tried once, and ends a server again.
 func TestTermsGrow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serving/quarantine/record.go
+++ b/internal/serving/quarantine/record.go
@@ -72,10 +72,9 @@
 	heldUntil time.Time
 	terms     int
 	// isUntold means that other hosts have not been told of a change, which happened at
-	// untoldSince. isOwnVerdict means that this host began the current term.
-	isUntold     bool
-	untoldSince  time.Time
-	isOwnVerdict bool
+	// untoldSince.
+	isUntold    bool
+	untoldSince time.Time
 	// isTold means that other hosts know the request.
 	isTold bool
 }
