--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,18 +18,25 @@
 // clients send requests to the fronts of their zone at a constant rate. They keep their
 // connections open, and retry once, at another front, after a failure.
 type clients struct {
-	rig    *rig
-	path   string
-	client *http.Client
-	count  atomic.Int64
-	ended  sync.WaitGroup
-	stop   chan struct{}
+	rig  *rig
+	path string
+	// isUnsafe means that the requests must not run twice: they are sent with POST, and again
+	// only after a status that promises that they have not run and never will.
+	isUnsafe bool
+	timeout  time.Duration
+	client   *http.Client
+	// observe, if not nil, is called with the number of each request, the ID of the attempt
+	// and the status of its answer.
+	observe func(n int64, id string, status int)
+	count   atomic.Int64
+	ended   sync.WaitGroup
+	stop    chan struct{}
 
 	served, refused, failed atomic.Int64
 }
 
 func newClients(r *rig, path string) *clients {
-	return &clients{rig: r, path: path, stop: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}}}
+	return &clients{rig: r, path: path, timeout: 1200 * time.Millisecond, stop: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}}}
 }
 
 // run sends perSecond requests a second from a zone until close.
@@ -64,14 +72,14 @@
 // ask sends a request, and once more if that fails and there is time.
 func (c *clients) ask(fronts []*front) {
 	n, first := c.count.Add(1), rand.IntN(len(fronts))
-	deadline := time.Now().Add(1200 * time.Millisecond)
+	deadline := time.Now().Add(c.timeout)
 	for try := range 2 {
 		status, wait := c.send(fronts[(first+try)%len(fronts)], n, try, deadline)
 		switch {
 		case status == http.StatusOK:
 			c.served.Add(1)
 			return
-		case try == 1 || time.Until(deadline) <= 0:
+		case try == 1 || time.Until(deadline) <= 0 || c.isUnsafe && !isPromise(status):
 			if status == http.StatusServiceUnavailable {
 				c.refused.Add(1)
 			} else {
@@ -83,12 +91,26 @@
 	}
 }
 
+// isPromise reports whether a status promises that the request has not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // send sends one attempt and returns the status, 0 without an answer, and the time after
 // which the front wants it again.
 func (c *clients) send(f *front, n int64, try int, deadline time.Time) (int, time.Duration) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s%d", f.address, c.path, n), http.NoBody)
+	method, body := http.MethodGet, io.Reader(http.NoBody)
+	if c.isUnsafe {
+		method, body = http.MethodPost, strings.NewReader(fmt.Sprintf("booking %d", n))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s%d", f.address, c.path, n), body)
 	must(err)
 	now := time.Now()
 	id := fmt.Sprintf("q%d.%d-%s", n, try, strconv.FormatInt(int64(now.Sub(c.rig.start)), 36))
@@ -102,6 +124,9 @@
 		return 0, 0
 	}
 	defer resp.Body.Close()
+	if c.observe != nil {
+		c.observe(n, id, resp.StatusCode)
+	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	c.rig.log("answer %s status %d after %d ms", id, resp.StatusCode, time.Since(now).Milliseconds())
 	if err != nil {
--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -24,8 +24,9 @@
 	spread   = 400 * time.Millisecond
 )
 
-// startShards starts the servers of all shards and writes the first configuration.
-func startShards(r *rig) []*server {
+// startShards starts the servers of all shards and writes the first configuration. It leaves
+// the first server out, which comes later, if skipsFirst is set.
+func startShards(r *rig, coldPerSecond float64, skipsFirst bool) []*server {
 	var names []string
 	var services []map[string]any
 	var servers []*server
@@ -36,12 +37,14 @@
 			"name": name, "health_path": "/healthz", "max_connections": 31, "protocol": "h1", "tls": false,
 			"cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond,
 		})
-		for z, zone := range zones {
+		for z, zone := range r.zones {
 			s := &server{
 				rig: r, id: fmt.Sprintf("i-%s-%d", zone.name, n+1), service: name, zone: zone.name, slots: 3,
 				work: 5 * time.Millisecond, coldTime: coldTime, coldFactor: 1.6, isRecorded: n == 0,
 			}
-			s.begin(fmt.Sprintf("127.61.%d.%d", z+1, n+1), false, time.Now())
+			if len(servers) > 0 || !skipsFirst {
+				s.begin(fmt.Sprintf("127.61.%d.%d", z+1, n+1), false, time.Now())
+			}
 			servers = append(servers, s)
 		}
 	}
@@ -54,15 +57,15 @@
 
 // playCold: all servers of one shard crash, and start again, cold, under the IDs that they had.
 func playCold(r *rig, hasTrouble bool) string {
-	servers := startShards(r)
+	servers := startShards(r, coldPerSecond, false)
 	r.startAll()
 	time.Sleep(3 * time.Second)
 	c := newClients(r, "/sweep/")
-	for _, zone := range zones {
+	for _, zone := range r.zones {
 		c.run(zone.name, zonePerSecond)
 	}
 	time.Sleep(5 * time.Second)
-	hit := servers[:len(zones)]
+	hit := servers[:len(r.zones)]
 	var back []time.Time
 	if hasTrouble {
 		for _, s := range hit {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -27,19 +27,29 @@
 	"github.com/godwithatch/godwithatch/tests/standin/metadata"
 )
 
-// The bounds of the settings: those of the deployment jeroa-find.
+// The bounds of the settings that are the same for all deployments.
 const (
-	drainMs     = 4000
 	coldOverage = 1.5
 	coldSlack   = 5
 	heartbeat   = 1200 * time.Millisecond
 )
 
-// zones are the zones of the deployment, each in a region of its own, with their fronts.
-var zones = []struct {
+// zone is a zone of a deployment, in a region of its own, with its fronts.
+type zone struct {
 	name, region string
 	fronts       int
-}{{"kgn-a", "kingston", 3}, {"mbj-a", "mobay", 3}, {"ocr-a", "ochi", 2}}
+}
+
+// deployment is what the cases take from a site file.
+type deployment struct {
+	zones                       []zone
+	contactMs, drainMs, applyMs int
+}
+
+var (
+	jeroaFind   = deployment{[]zone{{"kgn-a", "kingston", 3}, {"mbj-a", "mobay", 3}, {"ocr-a", "ochi", 2}}, 5000, 4000, 4000}
+	coredCyfrif = deployment{[]zone{{"tywi-llandeilo", "tywi", 2}, {"teifi-cenarth", "teifi", 2}, {"wysg-trefynwy", "wysg", 2}}, 4000, 3000, 3000}
+)
 
 // notRun ends the process because the case could not run.
 type notRun struct{ cause string }
@@ -52,6 +62,7 @@
 
 // rig holds the stand-ins and the processes of one run.
 type rig struct {
+	deployment
 	dir     string
 	store   *metadata.Store
 	address string
@@ -71,12 +82,12 @@
 	ended chan struct{}
 }
 
-func newRig(folder string) *rig {
+func newRig(d deployment, folder string) *rig {
 	dir, err := os.MkdirTemp("", "rig-")
 	must(err)
 	f, err := os.Create(filepath.Join(folder, "record.txt"))
 	must(err)
-	r := &rig{dir: dir, store: metadata.New(), start: time.Now(), record: bufio.NewWriterSize(f, 1<<20)}
+	r := &rig{deployment: d, dir: dir, store: metadata.New(), start: time.Now(), record: bufio.NewWriterSize(f, 1<<20)}
 	l, err := net.Listen("tcp4", "127.60.9.1:0")
 	must(err)
 	r.address = l.Addr().String()
@@ -132,7 +143,7 @@
 	for _, x := range r.fronts[:min(3, len(r.fronts))] {
 		seeds = append(seeds, fmt.Sprintf("%q", x.control))
 	}
-	for _, z := range zones {
+	for _, z := range r.zones {
 		regions = append(regions, fmt.Sprintf("%s: %q", z.name, z.region))
 	}
 	text := fmt.Sprintf(`node_name: %q
@@ -149,16 +160,16 @@
 bootstrap: %t
 limits: {cpu_share: 0.4, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
 heartbeat_ms: %d
-bounds: {seed_lag_s: 3, reuse_after_s: 2, contact_ms: 5000, ack_ms: 6000, catch_up_s: 4, drain_ms: %d, grace_s: 6, loss_slack_ms: 200, config_apply_ms: 4000, rollback_slack_ms: 250, max_skew_ms: 15000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 56, cold_overage: %v, cold_slack: %d, evacuate_ms: 5000, recovery_s: 12}
+bounds: {seed_lag_s: 3, reuse_after_s: 2, contact_ms: %d, ack_ms: 6000, catch_up_s: 4, drain_ms: %d, grace_s: 6, loss_slack_ms: 200, config_apply_ms: %d, rollback_slack_ms: 250, max_skew_ms: 15000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 56, cold_overage: %v, cold_slack: %d, evacuate_ms: 5000, recovery_s: 12}
 platform: {address: %q, form: "objects", writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576}
 `, f.name, f.ip, f.zone, region, strings.Join(regions, ", "), f.address, f.ready, f.control, strings.Join(seeds, ", "), isFirst,
-		heartbeat.Milliseconds(), drainMs, coldOverage, coldSlack, r.address)
+		heartbeat.Milliseconds(), r.contactMs, r.drainMs, r.applyMs, coldOverage, coldSlack, r.address)
 	must(os.WriteFile(f.settings, []byte(text), 0o600))
 }
 
 // startAll starts the fronts of all zones and waits until they are ready.
 func (r *rig) startAll() {
-	for z, zone := range zones {
+	for z, zone := range r.zones {
 		for n := range zone.fronts {
 			r.addFront(fmt.Sprintf("front-%s-%d", zone.name, n+1), zone.name, zone.region, fmt.Sprintf("127.60.%d.%d", z+1, n+1))
 		}
@@ -227,8 +238,12 @@
 }
 
 func play() (code int) {
-	cases := map[string]func(*rig, bool) string{"cold": playCold}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	type playable struct {
+		deployment
+		play func(r *rig, hasTrouble bool) (broken string)
+	}
+	cases := map[string]playable{"cold": {jeroaFind, playCold}, "clock": {coredCyfrif, playClock}, "promise": {jeroaFind, playPromise}, "deadly": {jeroaFind, playDeadly}}
+	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		return 2
 	}
@@ -238,9 +253,10 @@
 			code = 2
 		}
 	}()
-	r := newRig(os.Args[2])
+	c := cases[os.Args[1]]
+	r := newRig(c.deployment, os.Args[2])
 	defer r.close()
-	broken := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
+	broken := c.play(r, os.Getenv("TROUBLE") != "0")
 	if broken == "" {
 		r.log("the rule held")
 		fmt.Println("the rule held")
