--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -78,8 +78,10 @@
 type front struct {
 	name, zone, ip, address, ready, control, settings string
 
-	cmd   *exec.Cmd
-	ended chan struct{}
+	// toStore is the link of the front to the store.
+	toStore *cuttable
+	cmd     *exec.Cmd
+	ended   chan struct{}
 }
 
 func newRig(d deployment, folder string) *rig {
@@ -123,8 +125,7 @@
 	return l.Addr().String()
 }
 
-// addFront writes the settings of a front. isFirst means that the whole system starts for the
-// first time.
+// addFront writes the settings of a front.
 func (r *rig) addFront(name, zone, region, ip string) *front {
 	f := &front{name: name, zone: zone, ip: ip, address: freeAddress(ip), ready: freeAddress(ip), control: freeAddress(ip), settings: filepath.Join(r.dir, name+".yaml")}
 	for f.ready == f.address {
@@ -133,12 +134,14 @@
 	for f.control == f.address || f.control == f.ready {
 		f.control = freeAddress(ip)
 	}
+	storeAddress := ""
+	f.toStore, storeAddress = newCuttable(r.address, "127.60.9.2")
 	r.fronts = append(r.fronts, f)
-	r.writeSettings(f, region, true)
+	r.writeSettings(f, region, storeAddress)
 	return f
 }
 
-func (r *rig) writeSettings(f *front, region string, isFirst bool) {
+func (r *rig) writeSettings(f *front, region, storeAddress string) {
 	var seeds, regions []string
 	for _, x := range r.fronts[:min(3, len(r.fronts))] {
 		seeds = append(seeds, fmt.Sprintf("%q", x.control))
@@ -157,13 +160,13 @@
 bind_addresses: {front: %q, ready: %q, control: %q}
 internal_ports: [7740, 7755]
 seeds: [%s]
-bootstrap: %t
+bootstrap: true
 limits: {cpu_share: 0.4, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
 heartbeat_ms: %d
 bounds: {seed_lag_s: 3, reuse_after_s: 2, contact_ms: %d, ack_ms: 6000, catch_up_s: 4, drain_ms: %d, grace_s: 6, loss_slack_ms: 200, config_apply_ms: %d, rollback_slack_ms: 250, max_skew_ms: 15000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 56, cold_overage: %v, cold_slack: %d, evacuate_ms: 5000, recovery_s: 12}
 platform: {address: %q, form: "objects", writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576}
-`, f.name, f.ip, f.zone, region, strings.Join(regions, ", "), f.address, f.ready, f.control, strings.Join(seeds, ", "), isFirst,
-		heartbeat.Milliseconds(), r.contactMs, r.drainMs, r.applyMs, coldOverage, coldSlack, r.address)
+`, f.name, f.ip, f.zone, region, strings.Join(regions, ", "), f.address, f.ready, f.control, strings.Join(seeds, ", "),
+		heartbeat.Milliseconds(), r.contactMs, r.drainMs, r.applyMs, coldOverage, coldSlack, storeAddress)
 	must(os.WriteFile(f.settings, []byte(text), 0o600))
 }
 
@@ -242,7 +245,7 @@
 		deployment
 		play func(r *rig, hasTrouble bool) (broken string)
 	}
-	cases := map[string]playable{"cold": {jeroaFind, playCold}, "clock": {coredCyfrif, playClock}, "promise": {jeroaFind, playPromise}, "deadly": {jeroaFind, playDeadly}}
+	cases := map[string]playable{"cold": {jeroaFind, playCold}, "clock": {coredCyfrif, playClock}, "promise": {jeroaFind, playPromise}, "deadly": {jeroaFind, playDeadly}, "mirror": {coredCyfrif, playMirror}}
 	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		return 2
