--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-rig ] && [ -x target/godwithatch ] || exit 2
-exec target/review-rig cold "$folder"
+exec target/review-rig mirror "$folder"
