--- a/internal/store/mirror/mirror.go
+++ b/internal/store/mirror/mirror.go
@@ -8,7 +8,7 @@
 //	m.Replace("servers", changes, mirror.Moment{Revision: 207}, time.Time{}) // a list
 //	m.Apply("servers", changes, mirror.Moment{Revision: 210}, time.Time{})   // a watch up to 210
 //	changed := m.Changed()
-//	update := m.Since("servers", mirror.Moment{Revision: 207})
+//	update := m.Since("servers", mirror.Moment{Revision: 207}, digest)
 //
 // Mirrors reduce the calls to the store when changes are frequent. Each pending watch is
 // one call to the store, and each change ends the watches of all hosts that watch the
@@ -42,12 +42,19 @@
 	Revision int64
 	Deleted  bool
 	Object   T
+	// Hash identifies the name, the revision and the content of the object.
+	Hash uint64
 }
 
 // Update holds the changes that bring a reader up to date with the mirror for one kind.
 type Update[T any] struct {
 	// At is the moment that the reader reaches by applying the update.
 	At Moment
+	// Digest is the digest of the objects at that moment.
+	Digest Digest
+	// IsDivergent means that the reader holds other objects than the mirror did at the reader's
+	// moment.
+	IsDivergent bool
 	// IsSnapshot means that Changes holds all objects of the kind: any other object no
 	// longer exists.
 	IsSnapshot bool
@@ -76,6 +83,10 @@
 	// change of the kind with a higher revision.
 	completeSince int64
 	changes       []Change[T]
+	// digests holds the digest of the objects after each of changes, and baseDigest that at
+	// completeSince.
+	digests    []Digest
+	baseDigest Digest
 	// outageEnd is the end of the last outage of the store; zero if there was none.
 	outageEnd time.Time
 }
@@ -117,11 +128,12 @@
 	if k != nil && at.Compare(k.at) < 0 {
 		return false
 	}
-	next := &kindState[T]{objects: make(map[string]Change[T], len(objects)), at: at, completeSince: at.Revision, outageEnd: outageEnd}
+	next := &kindState[T]{objects: make(map[string]Change[T], len(objects)), at: at, completeSince: at.Revision, baseDigest: emptyDigest, outageEnd: outageEnd}
 	if k != nil {
 		next.recordOutage(k.outageEnd)
 	}
 	for _, o := range objects {
+		next.baseDigest = next.baseDigest.without(next.objects[o.Name].Hash).with(o.Hash)
 		next.objects[o.Name] = o
 	}
 	m.kinds[kind] = next
@@ -142,23 +154,27 @@
 		return nil
 	}
 	var applied []Change[T]
+	digest := k.digest()
 	for _, c := range changes {
 		if c.Revision <= k.at.Revision {
 			continue
 		}
 		applied = append(applied, c)
+		digest = digest.without(k.objects[c.Name].Hash)
 		if c.Deleted {
 			delete(k.objects, c.Name)
 		} else {
 			k.objects[c.Name] = c
+			digest = digest.with(c.Hash)
 		}
+		k.digests = append(k.digests, digest)
 	}
 	k.recordOutage(outageEnd)
 	k.at.Revision = max(k.at.Revision, at.Revision)
 	k.changes = append(k.changes, applied...)
 	if excess := len(k.changes) - maxChanges; excess > 0 {
-		k.completeSince = k.changes[excess-1].Revision
-		k.changes = slices.Delete(k.changes, 0, excess)
+		k.completeSince, k.baseDigest = k.changes[excess-1].Revision, k.digests[excess-1]
+		k.changes, k.digests = slices.Delete(k.changes, 0, excess), slices.Delete(k.digests, 0, excess)
 	}
 	if len(applied) > 0 {
 		m.notifyReaders()
@@ -167,16 +183,20 @@
 }
 
 // Since returns the update for a reader that knows the changes of a kind up to the given
-// moment. The zero moment means that the reader does not know the kind. The update is empty
-// if the mirror holds no later moment of the kind.
-func (m *Mirror[T]) Since(kind string, from Moment) Update[T] {
+// moment, and holds objects with the given digest. The zero moment means that the reader does
+// not know the kind. The update is empty if the mirror holds no later moment of the kind.
+func (m *Mirror[T]) Since(kind string, from Moment, held Digest) Update[T] {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kinds[kind]
-	if k == nil || from.Compare(k.at) >= 0 {
+	if k == nil {
 		return Update[T]{At: from}
 	}
-	u := Update[T]{At: k.at}
+	isDivergent := k.differsFrom(from, held)
+	if from.Compare(k.at) >= 0 {
+		return Update[T]{At: from, IsDivergent: isDivergent}
+	}
+	u := Update[T]{At: k.at, Digest: k.digest(), IsDivergent: isDivergent}
 	if !k.outageEnd.IsZero() && time.Since(k.outageEnd) < membership.ReregistrationGrace {
 		u.OutageEnd = k.outageEnd
 	}
--- a/internal/store/mirror/mirror_test.go
+++ b/internal/store/mirror/mirror_test.go
@@ -34,12 +34,12 @@
 		isSnapshot bool
 		names      []string
 	}{{0, true, []string{"a", "b", "c"}}, {5, true, []string{"a", "b", "c"}}, {7, false, []string{"c"}}, {9, false, nil}, {12, false, nil}} {
-		u := m.Since("servers", Moment{Revision: test.from})
+		u := m.Since("servers", Moment{Revision: test.from}, 0)
 		if u.IsSnapshot != test.isSnapshot || !slices.Equal(changedNames(u), test.names) {
 			t.Errorf("update from revision %d is %+v", test.from, u)
 		}
 	}
-	if !m.Since("config", Moment{}).IsEmpty() {
+	if !m.Since("config", Moment{}, 0).IsEmpty() {
 		t.Error("the update for an unknown kind is not empty")
 	}
 }
@@ -63,10 +63,10 @@
 	for r := int64(2); r < 3*maxChanges; r++ {
 		m.Apply("servers", []Change[string]{change("a", r)}, Moment{Revision: r}, time.Time{})
 	}
-	if u := m.Since("servers", Moment{Revision: 5}); !u.IsSnapshot || len(u.Changes) != 1 {
+	if u := m.Since("servers", Moment{Revision: 5}, 0); !u.IsSnapshot || len(u.Changes) != 1 {
 		t.Errorf("reader whose changes were dropped got %+v, want all objects", u)
 	}
-	if u := m.Since("servers", Moment{Revision: 3*maxChanges - 2}); u.IsSnapshot || len(u.Changes) != 1 {
+	if u := m.Since("servers", Moment{Revision: 3*maxChanges - 2}, 0); u.IsSnapshot || len(u.Changes) != 1 {
 		t.Errorf("reader that is one change behind got %+v, want one change", u)
 	}
 }
@@ -76,17 +76,17 @@
 		m := New[string]()
 		end := time.Now()
 		m.Replace("servers", nil, Moment{Revision: 30}, end)
-		if got := m.Since("servers", Moment{Revision: 10}).OutageEnd; !got.Equal(end) {
+		if got := m.Since("servers", Moment{Revision: 10}, 0).OutageEnd; !got.Equal(end) {
 			t.Errorf("the update right after the outage reports its end at %s, want %s", got, end)
 		}
 		time.Sleep(membership.ReregistrationGrace / 2)
 		m.Replace("servers", nil, Moment{Revision: 31}, time.Time{})
 		m.Apply("servers", []Change[string]{change("a", 32)}, Moment{Revision: 32}, time.Time{})
-		if got := m.Since("servers", Moment{Revision: 10}).OutageEnd; !got.Equal(end) {
+		if got := m.Since("servers", Moment{Revision: 10}, 0).OutageEnd; !got.Equal(end) {
 			t.Errorf("a later update reports the end at %s, want %s", got, end)
 		}
 		time.Sleep(membership.ReregistrationGrace/2 + time.Millisecond)
-		if got := m.Since("servers", Moment{Revision: 10}).OutageEnd; !got.IsZero() {
+		if got := m.Since("servers", Moment{Revision: 10}, 0).OutageEnd; !got.IsZero() {
 			t.Error("the update still reports the outage after the time limit")
 		}
 	})
@@ -117,7 +117,7 @@
 			revisions[i] = revision
 		}
 		read := func(i int) {
-			u := mirrors[i].Since("k", reader.Moment("k"))
+			u := mirrors[i].Since("k", reader.Moment("k"), 0)
 			if u.IsSnapshot {
 				reader.Replace("k", u.Changes, u.At, u.OutageEnd)
 			} else {
@@ -139,7 +139,7 @@
 		}
 		sync(0)
 		read(0)
-		got, want := reader.Since("k", Moment{}), objectsAfter(history)
+		got, want := reader.Since("k", Moment{}, 0), objectsAfter(history)
 		if reader.Revision("k") != revision || len(got.Changes) != len(want) {
 			t.Fatalf("reader is at revision %d of %d with %v, want %v", reader.Revision("k"), revision, got.Changes, want)
 		}
@@ -180,10 +180,10 @@
 	if applied := m.Apply("servers", []Change[string]{change("b", 95)}, Moment{0, 95}, time.Time{}); len(applied) > 0 {
 		t.Errorf("changes of the former era were taken: %v", applied)
 	}
-	if u := m.Since("servers", Moment{0, 95}); !u.IsSnapshot || len(u.Changes) != 1 || u.At != (Moment{1, 60}) {
+	if u := m.Since("servers", Moment{0, 95}, 0); !u.IsSnapshot || len(u.Changes) != 1 || u.At != (Moment{1, 60}) {
 		t.Errorf("a reader of the former era got %+v", u)
 	}
-	if u := m.Since("servers", Moment{2, 10}); !u.IsEmpty() {
+	if u := m.Since("servers", Moment{2, 10}, 0); !u.IsEmpty() {
 		t.Errorf("a reader of a later era got %+v", u)
 	}
 }
--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -69,6 +69,9 @@
 	// to another.
 	FollowsStore  func() bool
 	SourceChanges func() int64
+	// Divergences returns the number of times that a host which reads from this one held
+	// other objects than this host at the same revision of the store.
+	Divergences func() int64
 	// StoreState returns the part of the state dump that describes how this host receives
 	// the store's changes.
 	StoreState func() any
@@ -187,6 +190,7 @@
 		return 0
 	})
 	m.registerCounter("source_changes_total", "Changes of whom this host learns of changes from.", "", "", func() float64 { return float64(s.SourceChanges()) })
+	m.registerCounter("store_content_differences_total", "Requests of hosts that hold other objects than this host at the same revision of the store.", "", "", func() float64 { return float64(s.Divergences()) })
 	m.registerCounter("log_lines_dropped_total", "Log lines lost because the output was behind.", "", "", func() float64 { return float64(s.LogWriter.Dropped()) })
 	m.registerCounter("log_requests_denied_total", "Requests without lines because of the rate.", "", "", func() float64 { return float64(s.LogWriter.Denied()) })
 }
