--- a/tests/process/front/deployment_test.go
+++ b/tests/process/front/deployment_test.go
@@ -62,8 +62,12 @@
 	settings string
 	limits   limits
 	storeURL string
+	// storeServer serves the store.
+	storeServer *http.Server
 	// maxDescriptors is the limit on the descriptors of each front; 0 for that of the test.
 	maxDescriptors int
+	// beats is the number of entries that beat has written.
+	beats int
 }
 
 // process is one front.
@@ -76,13 +80,18 @@
 
 func newDeployment(t *testing.T) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), store: metadata.New(), limits: limits{16384, 262144, 3000, 15000}}
-	d.storeURL = d.serve("127.0.1.2:0", d.store)
+	d.storeServer, d.storeURL = d.startServer("127.0.1.2:0", d.store)
 	return d
 }
 
 // serve serves a handler at an address until the test ends and returns the address with its
 // port.
 func (d *deployment) serve(address string, h http.Handler) string {
+	_, address = d.startServer(address, h)
+	return address
+}
+
+func (d *deployment) startServer(address string, h http.Handler) (*http.Server, string) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		d.t.Fatal(err)
@@ -90,7 +99,17 @@
 	s := &http.Server{Handler: h}
 	go s.Serve(l) //nolint:errcheck // It returns when the test closes the server.
 	d.t.Cleanup(func() { s.Close() })
-	return l.Addr().String()
+	return s, l.Addr().String()
+}
+
+// restartStore ends the process of the store, with its connections, and starts it again with
+// the content of c after the given time. write is called before it answers.
+func (d *deployment) restartStore(c *metadata.Copy, outage time.Duration, write func()) {
+	d.storeServer.Close()
+	time.Sleep(outage)
+	d.store.Restore(c)
+	write()
+	d.storeServer, _ = d.startServer(d.storeURL, d.store)
 }
 
 func service(shard int) string { return fmt.Sprint("shard", shard) }
