Readers get what is written at a revision that was given out before

Cause: a host and its source know what the host has by the store's revision alone. A store that has lost changes gives their revisions out again; where as many are written again, source and reader stand at one number with different objects, and Mirror.Since found nothing to send. Class: an identity that is taken for granted across a loss.

Evidence: content_differs at revision 27 from three of three readers, the source with the new version. Change: the digest that hosts state decides.

Why it works: no number is compared without what stands behind it, so it does not matter how reader and source came apart. Ways weighed: a name for each list of a source, which sends everything again at each change of source; the digest sends only what differs.

--- a/internal/store/mirror/mirror.go
+++ b/internal/store/mirror/mirror.go
@@ -19,7 +19,9 @@
 // Mirrors need not agree with each other. The store assigns the revisions, and a reader
 // (another host) whose moment is later than a mirror's ignores that mirror's updates. If the
 // store loses changes and gives their revisions out again, a new era begins, and each moment
-// of it is later than all moments of the former ones.
+// of it is later than all moments of the former ones. Mirrors may notice the loss at different
+// times, or not at all if the store has reached their revision again. Readers therefore also
+// state a Digest of what they hold.
 package mirror
 
 import (
@@ -184,7 +186,8 @@
 
 // Since returns the update for a reader that knows the changes of a kind up to the given
 // moment, and holds objects with the given digest. The zero moment means that the reader does
-// not know the kind. The update is empty if the mirror holds no later moment of the kind.
+// not know the kind. The update is empty if the mirror holds no later moment of the kind,
+// unless the reader holds other objects than the mirror: then it gets all objects.
 func (m *Mirror[T]) Since(kind string, from Moment, held Digest) Update[T] {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -193,14 +196,14 @@
 		return Update[T]{At: from}
 	}
 	isDivergent := k.differsFrom(from, held)
-	if from.Compare(k.at) >= 0 {
-		return Update[T]{At: from, IsDivergent: isDivergent}
+	if from.Compare(k.at) >= 0 && !isDivergent {
+		return Update[T]{At: from}
 	}
 	u := Update[T]{At: k.at, Digest: k.digest(), IsDivergent: isDivergent}
 	if !k.outageEnd.IsZero() && time.Since(k.outageEnd) < membership.ReregistrationGrace {
 		u.OutageEnd = k.outageEnd
 	}
-	if from.Era != k.at.Era || from.Revision < k.completeSince {
+	if isDivergent || from.Era != k.at.Era || from.Revision < k.completeSince {
 		u.IsSnapshot = true
 		for _, o := range k.objects {
 			u.Changes = append(u.Changes, o)
