A host that takes over lists what it has read from another host

Cause: that host watched after the revision that it had read from the lost one (Session.CanResume; a host that had just started and had read from another did the same). What was written again below that number is in no watch. Evidence: watch_resumed from 32 and no list of the configuration after it. Class: a number of the store that is kept over a lost connection.

Change: a host that begins to follow the store lists each kind first. Nothing that the store sends later would show that the number is of a lost past, and a list is one call a kind at the one host of a data centre that takes over; CanResume and its bookkeeping go.

--- a/internal/store/source/controller.go
+++ b/internal/store/source/controller.go
@@ -54,10 +54,6 @@
 	// IsNew means that the host has just started and must list the store's objects at
 	// once.
 	IsNew bool
-	// CanResume means that the host's copy of the store's content is recent. The host
-	// can then watch for changes after the revision of its copy without listing the
-	// objects first.
-	CanResume bool
 	// MayWatch is open while the host is allowed to watch the store and to list a kind
 	// (type of object) again. The first list of a kind is allowed at any time.
 	MayWatch *Latch
@@ -102,9 +98,6 @@
 	// followingSince is the time at which this host began to follow the store, or nil if
 	// it does not follow the store.
 	followingSince atomic.Pointer[time.Time]
-	// upToDateAt is the time at which this host was last up to date with the store. Only
-	// the goroutine of Run uses this field.
-	upToDateAt time.Time
 
 	mu               sync.Mutex
 	followingChanged chan struct{}
@@ -267,11 +260,7 @@
 	if ctx.Err() != nil {
 		return Unreachable
 	}
-	now := time.Now()
-	c.Observe(h.Name, s, now)
-	if s == Serving && !isProbe {
-		c.upToDateAt = now
-	}
+	c.Observe(h.Name, s, time.Now())
 	return s
 }
 
@@ -280,15 +269,11 @@
 func (c *Controller) followStore(ctx context.Context, isNew bool) *Host {
 	c.transport.SourceSelected(Store)
 	following, cancel := context.WithCancel(ctx)
-	s := Session{IsNew: isNew, CanResume: !isNew && time.Since(c.upToDateAt) < c.maxAge, MayWatch: &Latch{}}
+	s := Session{IsNew: isNew, MayWatch: &Latch{}}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.transport.FollowStore(following, s) })
 	c.setFollowing(true)
 	next := c.awaitSource(ctx, s)
-	now := time.Now()
-	if age, isCutOff := c.timeSinceStoreAnswer(now); !isCutOff {
-		c.upToDateAt = now.Add(-age)
-	}
 	c.setFollowing(false)
 	cancel()
 	tasks.Wait()
