--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -34,6 +34,7 @@
 type conn struct {
 	address  string
 	nc       net.Conn
+	openedAt time.Time
 	r        *bufio.Reader
 	head     *headReader
 	lastUsed time.Time
@@ -48,8 +49,8 @@
 }
 
 func newConn(address string, nc net.Conn) *conn {
-	head := &headReader{nc: nc}
-	return &conn{address: address, nc: nc, head: head, r: bufio.NewReaderSize(head, readBufferSize), lastUsed: time.Now(), idleTimeout: defaultIdleTimeout}
+	head, now := &headReader{nc: nc}, time.Now()
+	return &conn{address: address, nc: nc, openedAt: now, head: head, r: bufio.NewReaderSize(head, readBufferSize), lastUsed: now, idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) isExpired(now time.Time) bool { return now.Sub(c.lastUsed) > c.idleTimeout }
@@ -68,6 +69,7 @@
 func (c *conn) exchange(ctx context.Context, call *Call, p *Pool) (*Reply, bool, error) {
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
+	sentAt := time.Now()
 	written, err := c.write(call)
 	if err != nil {
 		return nil, false, c.wrapError(ctx, "write", err)
@@ -85,7 +87,8 @@
 		reusable = false
 	}
 	c.lastUsed, c.hasReceivedResponse = time.Now(), true
-	return reply, reusable && stop(), nil
+	reply.SentAt, reply.IsConnectionKept = sentAt, reusable && stop()
+	return reply, reply.IsConnectionKept, nil
 }
 
 // abort sets a deadline in the past, so that blocked reads and writes return at once.
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -55,6 +55,15 @@
 // Unwrap returns the underlying error.
 func (f *Failure) Unwrap() error { return f.cause }
 
+// connectionError is the error of an exchange for which there is no suitable connection.
+type connectionError string
+
+// Error implements error.
+func (e connectionError) Error() string { return string(e) }
+
+// ErrNotConnected is the cause of a failure if no connection has been open since Call.OpenBy.
+const ErrNotConnected connectionError = "no connection has been open since then"
+
 func unsentError(op string, err error) error { return &Failure{Unsent, err, op} }
 
 func resetError(op string, err error) error { return &Failure{Reset, err, op} }
@@ -90,6 +99,9 @@
 	// RequireFresh restricts the exchange to new connections and to connections that were
 	// idle for at most one second.
 	RequireFresh bool
+	// OpenBy restricts the exchange to connections that were open at that time; zero for no
+	// restriction. If there is none, the exchange fails with ErrNotConnected and sends nothing.
+	OpenBy time.Time
 	// MaxBody is the maximum size of the response body in bytes, if it is less than that of
 	// the pool; 0 means the pool's.
 	MaxBody int64
@@ -126,6 +138,10 @@
 	Body   []byte
 	// Match says how the response was matched to the request.
 	Match Match
+	// SentAt is the time at which the request was sent.
+	SentAt time.Time
+	// IsConnectionKept means that the connection stays open for further exchanges.
+	IsConnectionKept bool
 }
 
 // Options configures a Pool.
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,7 +69,7 @@
 // If ctx ends first, Exchange closes the connection, which tells the server to stop.
 // Each error is a *Failure.
 func (p *Pool) Exchange(ctx context.Context, address string, call *Call) (*Reply, error) {
-	c, err := p.acquire(ctx, address, call.RequireFresh)
+	c, err := p.acquire(ctx, address, call)
 	if err != nil {
 		return nil, unsentError("connect", err)
 	}
@@ -82,19 +83,23 @@
 }
 
 // acquire returns a usable idle connection to address, or a new connection if there is
-// none.
-func (p *Pool) acquire(ctx context.Context, address string, requireFresh bool) (*conn, error) {
-	if c := p.popUsable(address, requireFresh); c != nil {
+// none and the call allows a new one.
+func (p *Pool) acquire(ctx context.Context, address string, call *Call) (*conn, error) {
+	if c := p.popUsable(address, call.RequireFresh, call.OpenBy); c != nil {
 		return c, nil
 	}
+	if !call.OpenBy.IsZero() {
+		return nil, ErrNotConnected
+	}
 	return p.dial(ctx, address)
 }
 
-// popUsable removes and returns a usable idle connection to address, or nil if there is
-// none. It closes the idle connections that it finds unusable.
-func (p *Pool) popUsable(address string, requireFresh bool) *conn {
+// popUsable removes and returns a usable idle connection to address that was open at the time
+// openBy, unless that is zero, or nil if there is none. It closes the idle connections that it
+// finds unusable.
+func (p *Pool) popUsable(address string, requireFresh bool, openBy time.Time) *conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, openBy)
 		if c == nil || c.isUsable(time.Now(), requireFresh) {
 			return c
 		}
@@ -102,19 +107,19 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection to address, or
-// nil if there is none.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection to address that was open
+// at the time openBy, unless that is zero, or nil if there is none.
+func (p *Pool) popIdle(address string, openBy time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; openBy.IsZero() || !c.openedAt.After(openBy) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
--- a/internal/protocol/http1/pool_test.go
+++ b/internal/protocol/http1/pool_test.go
@@ -274,6 +274,39 @@
 	})
 }
 
+// The server restarts between two calls of which the second goes on where the first ended.
+// The second must not go over a connection that was opened after the restart.
+func TestCallGoesOnOverConnectionThatWasOpenBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, dials := newTestPool(respondWith(okResponse, okResponse), respondWith(okResponse, okResponse))
+		goOn := newCall()
+		goOn.OpenBy = time.Now()
+		if _, err := p.Exchange(t.Context(), "s", goOn); !errors.Is(err, ErrNotConnected) || *dials != 0 {
+			t.Fatalf("without a connection: %v, %d dials; want %v and none", err, *dials, ErrNotConnected)
+		}
+		first, err := p.Exchange(t.Context(), "s", newCall())
+		if err != nil || !first.IsConnectionKept || first.SentAt != time.Now() {
+			t.Fatalf("the first response is %+v, %v", first, err)
+		}
+		time.Sleep(time.Second)
+		old := p.popUsable("s", false, time.Time{})
+		if _, err := p.Exchange(t.Context(), "s", newCall()); err != nil {
+			t.Fatal(err)
+		}
+		goOn.OpenBy = first.SentAt
+		if _, err := p.Exchange(t.Context(), "s", goOn); !errors.Is(err, ErrNotConnected) {
+			t.Errorf("with only a newer connection: %v, want %v", err, ErrNotConnected)
+		}
+		p.mu.Lock()
+		p.idle["s"] = append([]*conn{old}, p.idle["s"]...)
+		p.mu.Unlock()
+		if _, err := p.Exchange(t.Context(), "s", goOn); err != nil {
+			t.Errorf("with an older connection: %v", err)
+		}
+		p.CloseIdleConnections([]string{"s"})
+	})
+}
+
 // A response to HEAD and a response with status 304 may contain a Content-Length although
 // no body follows. Exchange must not wait for a body, and must reuse the connection.
 func TestResponseToHeadAnd304HasNoBody(t *testing.T) {
--- a/internal/protocol/http1/refusal.go
+++ b/internal/protocol/http1/refusal.go
@@ -15,7 +15,7 @@
 // after its process has ended. It opens no connection if an idle one shows that the server
 // runs, and keeps the one that it opens. A server that does not answer counts as running.
 func (p *Pool) IsRefusing(ctx context.Context, address string) bool {
-	if c := p.popUsable(address, false); c != nil {
+	if c := p.popUsable(address, false, time.Time{}); c != nil {
 		p.pushIdle(c)
 		return false
 	}
