Lists and watches of a kind have connections of their own

Callers: after an outage of the store requests were refused with 503, because a configuration came into force before its servers were known. Cause: after the outage five kinds list within one moment, partly one after the other over the same connections, so that there are fewer than the five watches need; as a watch opens no new connection any more, some kinds paused up to 1.6 s and listed again. Evidence: the calls of a failed run, servers listed at 6.251 s and not watched, listed again at 7.851 s.

Change: each kind lists and watches over connections that no other call takes, so that its last connection is always there unless it has broken.

--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -65,6 +65,9 @@
 	return &Pool{opts: opts, memory: memory{limit: opts.MaxBodies}, idle: map[string][]*conn{}}
 }
 
+// Clone returns an empty Pool with the same options.
+func (p *Pool) Clone() *Pool { return NewPool(p.opts) }
+
 // Exchange sends a request to the server at address and reads the complete response.
 // If ctx ends first, Exchange closes the connection, which tells the server to stop.
 // Each error is a *Failure.
