--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -60,6 +60,8 @@
 	Meta struct {
 		Name     string `json:"name"`
 		Revision int64  `json:"revision"`
+		// CreatedAt is in milliseconds since 1970.
+		CreatedAt int64 `json:"created_at"`
 	} `json:"meta"`
 	Spec json.RawMessage `json:"spec"`
 }
@@ -115,6 +117,11 @@
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]object{}
 	}
+	if old, exists := s.objects[kind][name]; exists {
+		o.Meta.CreatedAt = old.Meta.CreatedAt
+	} else {
+		o.Meta.CreatedAt = time.Now().UnixMilli()
+	}
 	s.objects[kind][name] = o
 	s.recordChange(change{kind: kind, Object: o})
 }
