--- a/tests/process/front/restore_test.go
+++ b/tests/process/front/restore_test.go
@@ -1,8 +1,12 @@
 package front
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -109,3 +113,56 @@
 		d.checkVersion(version + 1)
 	}
 }
+
+// Losses in series: 1 to 21 changes are lost, some of which are written again, before or after
+// the store answers, while a front is killed and started. The configuration gets a new version
+// or, with another route, the lost one (CONFIG). GODWITHATCH_SEED and GODWITHATCH_LOSSES set the
+// run.
+func TestRoutesAreServedAfterSeriesOfLosses(t *testing.T) {
+	seed, losses := envOr("GODWITHATCH_SEED", 1), envOr("GODWITHATCH_LOSSES", 3)
+	random := rand.New(rand.NewPCG(seed, 1))
+	d := newFleet(t, 8)
+	version, route := 1, 1
+	put := func() {
+		route++
+		d.putConfig(version, routeOf(route))
+	}
+	for n := range losses {
+		before := d.store.Copy()
+		lost := 1 + random.IntN(21)
+		d.beat(lost - 1)
+		version++
+		put()
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		version += random.IntN(2)
+		repeated := max(0, lost-1+random.IntN(5)-2)
+		outage, isBackFirst := time.Duration(20+random.IntN(1700))*time.Millisecond, random.IntN(2) == 0
+		killed := d.fronts[random.IntN(len(d.fronts))]
+		if random.IntN(2) == 0 {
+			killed.kill()
+			d.start(killed)
+		}
+		t.Logf("loss %d: %d lost, %d repeated, away for %s, back first %t, version %d, route %d", n, lost, repeated, outage, isBackFirst, version, route+1)
+		repeat := func() {
+			put()
+			d.beat(repeated)
+		}
+		if isBackFirst {
+			d.restartStore(before, outage, func() {})
+			repeat()
+		} else {
+			d.restartStore(before, outage, repeat)
+		}
+		time.Sleep(contactBound)
+		d.checkVersion(route)
+	}
+}
+
+// envOr returns the number in an environment variable, or n if there is none.
+func envOr(name string, n uint64) uint64 {
+	value, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return n
+	}
+	return cmp.Or(value, n)
+}
