Show how long ago the store's revision was known without stale answers

The log of a host whose watches hear nothing did not show what its probes are told, nor whether a check found a watch behind: hypotheses 1 and 6 of the incident could not be told apart.

Tests of platform/ and internal/ pass.

--- a/internal/telemetry/metrics/metrics.go
+++ b/internal/telemetry/metrics/metrics.go
@@ -63,6 +63,9 @@
 	ConfigVersion func() int64
 	// StoreAge returns the time since the store last answered.
 	StoreAge func() time.Duration
+	// VerifiedAge returns the time since the moment as of which this host knows the revision of
+	// the store without stale answers, or 0 if it reads from another host.
+	VerifiedAge func() time.Duration
 	// FollowsStore reports whether this host lists and watches the store itself, instead
 	// of receiving the store's changes from another host. SourceChanges returns the
 	// number of times that this host has switched from one source of the store's changes
@@ -183,6 +186,7 @@
 	m.registerCounter("store_entries_unreadable_total", "Entries in answers of the store that could not be read.", "", "", func() float64 { return float64(s.UnreadableEntries()) })
 	m.registerGauge("config_version", "Version of the configuration in force.", func() float64 { return float64(s.ConfigVersion()) })
 	m.registerGauge("store_silence_seconds", "Time since the store last answered.", func() float64 { return s.StoreAge().Seconds() })
+	m.registerGauge("store_verified_seconds", "Time since the moment as of which the revision of the store is known without stale answers; 0 if this host learns of changes from another host.", func() float64 { return s.VerifiedAge().Seconds() })
 	m.registerGauge("follows_store", "1 if this host follows the store itself, 0 if it learns of changes from another host.", func() float64 {
 		if s.FollowsStore() {
 			return 1
