--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -93,8 +93,18 @@
 	rawSpecs []string
 	// refusedIPs holds the IP addresses of the hosts whose calls the store refuses.
 	refusedIPs map[string]bool
-	// restores is the number of times that the store has returned to an earlier content.
-	restores int
+	// cuts is the number of times that the store has cut off all open watches.
+	cuts int
+	// staleLag is the age of the content that calls with allow_stale get, and past holds that
+	// content and all later ones.
+	staleLag time.Duration
+	past     []pastContent
+}
+
+// pastContent is the content that the store had from a time on.
+type pastContent struct {
+	since time.Time
+	*Copy
 }
 
 // New returns an empty Store.
@@ -158,9 +168,38 @@
 // holds mu.
 func (s *Store) recordChange(c change) {
 	s.history = append(s.history, c)
+	s.keepPast()
 	s.notifyWatches()
 }
 
+// keepPast keeps the content of the store for calls that allow stale answers. The caller holds mu.
+func (s *Store) keepPast() {
+	if s.staleLag > 0 {
+		s.past = append(s.past, pastContent{time.Now(), &Copy{s.revision, copyObjects(s.objects)}})
+	}
+}
+
+// SetStaleLag sets the age of the content that calls with allow_stale get from now on. Such a
+// call gets nothing older than the content at the time of SetStaleLag.
+func (s *Store) SetStaleLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleLag, s.past = lag, nil
+	s.keepPast()
+}
+
+// content returns the objects of a kind and the revision that a list gets. The caller holds mu
+// while it uses the objects.
+func (s *Store) content(kind string, isStale bool) (map[string]object, int64) {
+	if !isStale || s.staleLag == 0 {
+		return s.objects[kind], s.revision
+	}
+	for len(s.past) > 1 && time.Since(s.past[1].since) >= s.staleLag {
+		s.past = s.past[1:]
+	}
+	return s.past[0].objects[kind], s.past[0].revision
+}
+
 // notifyWatches makes all waiting watches check the store again for changes and faults.
 // The caller holds mu.
 func (s *Store) notifyWatches() {
@@ -241,7 +280,8 @@
 	defer s.mu.Unlock()
 	s.revision, s.objects = c.revision, copyObjects(c.objects)
 	s.history, s.historyStart = nil, s.revision
-	s.restores++
+	s.cuts++
+	s.keepPast()
 	s.notifyWatches()
 }
 
@@ -298,7 +338,7 @@
 			time.Sleep(slowDelay)
 		}
 		time.Sleep(answerTime)
-		s.list(w, kind, query.Get("after"))
+		s.list(w, kind, query.Get("after"), query.Has("allow_stale"))
 	}
 }
 
@@ -340,10 +380,11 @@
 
 // list answers with the first page of the objects of a kind whose names sort behind
 // after.
-func (s *Store) list(w http.ResponseWriter, kind, after string) {
+func (s *Store) list(w http.ResponseWriter, kind, after string, isStale bool) {
 	s.mu.Lock()
-	names := make([]string, 0, len(s.objects[kind]))
-	for name := range s.objects[kind] {
+	objects, revision := s.content(kind, isStale)
+	names := make([]string, 0, len(objects))
+	for name := range objects {
 		if name > after {
 			names = append(names, name)
 		}
@@ -352,9 +393,9 @@
 	hasMore := len(names) > s.pageSize
 	items := []object{}
 	for _, name := range names[:min(len(names), s.pageSize)] {
-		items = append(items, s.objects[kind][name])
+		items = append(items, objects[name])
 	}
-	revision, rawSpecs := s.revision, s.rawSpecs
+	rawSpecs := s.rawSpecs
 	// A caller that does not read must not keep others out.
 	s.mu.Unlock()
 	writeJSON(w, rawSpecs, struct {
@@ -375,12 +416,12 @@
 	}
 	deadline := pause.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
-	restores := s.restoreCount()
+	cuts := s.cutCount()
 	for {
 		events, revision, gone, fault, changed := s.changesSince(kind, from)
 		rawSpecs := s.currentRawSpecs()
 		switch {
-		case s.restoreCount() != restores:
+		case s.cutCount() != cuts:
 			panic(http.ErrAbortHandler)
 		case fault == Down || fault == ClosedWatches || s.isCallerRefused(r):
 			panic(http.ErrAbortHandler)
@@ -432,10 +473,18 @@
 	return events, s.revision, from < s.historyStart || from > s.revision, s.fault, s.changed
 }
 
-func (s *Store) restoreCount() int {
+func (s *Store) cutCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.restores
+	return s.cuts
+}
+
+// CutWatches closes the connections of the open watches.
+func (s *Store) CutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts++
+	s.notifyWatches()
 }
 
 // currentRawSpecs returns the raw specs that have been put so far.
