--- a/internal/store/stalewatch/stalewatch.go
+++ b/internal/store/stalewatch/stalewatch.go
@@ -7,7 +7,8 @@
 //	d.RecordList("servers", 207)     // a list was read at revision 207
 //	d.RecordChange(208)              // a watch delivered the change with revision 208
 //	d.RecordProgress("servers", 210) // a watch has delivered all changes up to revision 210
-//	for _, kind := range d.Check(215) { ... } // the store is at 215: list these kinds again
+//	kinds, isMissing := d.Check(215) // the store is at 215: list these kinds again
+//	if isMissing { ... }             // check again once the watches have had time to deliver it
 //
 // Objects in the store have a kind, such as servers, and each watch covers one kind.
 // Every change in the store has its own revision. A revision that the store has reached
@@ -17,7 +18,9 @@
 // is still missing after the list is assumed to be a change of a kind that this host does
 // not watch.
 //
-// Shorter watches are no solution: each watch is a call to the store and has a cost, and
+// The revision must be known without stale answers at regular intervals: while no watch
+// delivers anything, nothing else shows how old a stale answer is. Shorter watches are no
+// solution: each watch is a call to the store and has a cost, and
 // each host would need a new watch of each kind every few seconds. Replacing a stalled
 // watch with a new watch is no solution either, because the new watch may stall as well.
 package stalewatch
@@ -67,20 +70,30 @@
 // Progress returns the revision that the watch of each kind has reached.
 func (d *Detector) Progress() map[string]int64 { return maps.Clone(d.progress) }
 
-// Check compares the delivered changes with the revision that the store has reached, and
-// returns the kinds to list again. These are the kinds whose watches have not reached a
-// revision that was already missing at the previous check.
-func (d *Detector) Check(revision int64) []string {
+// Check compares the delivered changes with the revision that the store has reached. It
+// returns the kinds to list again, which are the kinds whose watches have not reached a
+// revision that was already missing at the previous check. isMissing means that another
+// revision is missing, for which the caller should check again.
+func (d *Detector) Check(revision int64) (kinds []string, isMissing bool) {
 	if d.isMissing(d.suspectRevision) {
 		kinds := d.kindsBehind(d.suspectRevision)
 		d.settleUpTo(d.suspectRevision)
-		return kinds
+		return kinds, false
+	}
+	return nil, d.Suspect(revision)
+}
+
+// Suspect looks for a missing revision for the next check, unless the one that the previous
+// check has found is still missing. It reports whether a revision is missing.
+func (d *Detector) Suspect(revision int64) bool {
+	if d.isMissing(d.suspectRevision) {
+		return true
 	}
 	d.suspectRevision = d.newestMissingRevision(revision)
 	if d.suspectRevision == 0 {
 		d.settleUpTo(revision)
 	}
-	return nil
+	return d.suspectRevision != 0
 }
 
 // isMissing reports whether a revision counts as missing: it is still tracked, no watch
--- a/internal/store/stalewatch/stalewatch_test.go
+++ b/internal/store/stalewatch/stalewatch_test.go
@@ -15,13 +15,13 @@
 	d.RecordList("config", 207)
 	d.RecordChange(213)
 	d.RecordProgress("config", 213)
-	if kinds := d.Check(213); kinds != nil {
+	if kinds, _ := d.Check(213); kinds != nil {
 		t.Fatalf("the first check after a gap restarted %v, want none", kinds)
 	}
-	if kinds := d.Check(215); !slices.Equal(kinds, []string{"servers"}) {
+	if kinds, _ := d.Check(215); !slices.Equal(kinds, []string{"servers"}) {
 		t.Fatalf("restarted %v, want the watch of servers", kinds)
 	}
-	if kinds := d.Check(215); kinds != nil {
+	if kinds, _ := d.Check(215); kinds != nil {
 		t.Fatalf("the next check restarted %v again, want none", kinds)
 	}
 }
@@ -38,7 +38,7 @@
 			d.RecordChange(r)
 			d.RecordProgress("servers", r)
 		}
-		if kinds := d.Check(r); kinds != nil {
+		if kinds, _ := d.Check(r); kinds != nil {
 			t.Fatalf("revision %d: restarted %v, want none", r, kinds)
 		}
 	}
@@ -54,7 +54,8 @@
 	d.RecordList("servers", 10)
 	restarts := 0
 	for range 20 {
-		restarts += len(d.Check(11))
+		kinds, _ := d.Check(11)
+		restarts += len(kinds)
 	}
 	if restarts != 1 {
 		t.Fatalf("%d restarts, want 1", restarts)
