A silent watch is found also while other changes come all the time

A version, an evacuation or a leaving server stays unknown at all hosts of a data centre for as long as entries of servers change at a steady rate.

Cause: stalewatch.Detector looks at the second check for the newest revision that was missing at the first. While changes come, that is nearly always one which a watch in its pause has yet to deliver, and at the second check it has been delivered. The older one, which a silent watch never delivers, is not looked for.

Change: the oldest missing revision is looked for. The stand-in can silence the watches of one kind.

--- a/internal/store/stalewatch/stalewatch.go
+++ b/internal/store/stalewatch/stalewatch.go
@@ -37,7 +37,7 @@
 	// delivered.
 	progress  map[string]int64
 	delivered map[int64]bool
-	// suspectRevision is the newest revision that was missing at the last check, or 0.
+	// suspectRevision is the oldest revision that was missing at the last check, or 0.
 	suspectRevision int64
 	// settledRevision is the highest revision that is no longer tracked. Neither it nor
 	// any earlier revision counts as missing.
@@ -89,7 +89,7 @@
 	if d.isMissing(d.suspectRevision) {
 		return true
 	}
-	d.suspectRevision = d.newestMissingRevision(revision)
+	d.suspectRevision = d.oldestMissingRevision(revision)
 	if d.suspectRevision == 0 {
 		d.settleUpTo(revision)
 	}
@@ -114,10 +114,11 @@
 	return kinds
 }
 
-// newestMissingRevision returns the highest revision that counts as missing and is not
-// above the given revision, or 0 if no revision is missing.
-func (d *Detector) newestMissingRevision(revision int64) int64 {
-	for r := revision; r > max(d.settledRevision, d.minProgress()); r-- {
+// oldestMissingRevision returns the lowest revision that counts as missing and is not
+// above the given revision, or 0 if no revision is missing. The newest one would change all the
+// time while watches deliver a steady stream of changes.
+func (d *Detector) oldestMissingRevision(revision int64) int64 {
+	for r := max(d.settledRevision, d.minProgress()) + 1; r <= revision; r++ {
 		if !d.delivered[r] {
 			return r
 		}
--- a/internal/store/stalewatch/stalewatch_test.go
+++ b/internal/store/stalewatch/stalewatch_test.go
@@ -61,3 +61,25 @@
 		t.Fatalf("%d restarts, want 1", restarts)
 	}
 }
+
+// The watch of the kind config hears nothing while servers change all the time, so that at each
+// check the newest change is one that the watch of servers has not delivered yet (CONFIG).
+func TestStalledWatchIsFoundBesideSteadyChanges(t *testing.T) {
+	var d Detector
+	d.RecordList("servers", 10)
+	d.RecordList("config", 10)
+	// Revision 11 is a change of config.
+	for r := int64(13); r < 40; r += 2 {
+		d.RecordChange(r - 1)
+		d.RecordProgress("servers", r-1)
+		kinds, _ := d.Check(r)
+		if slices.Contains(kinds, "config") {
+			if r > 15 {
+				t.Errorf("the watch of config was restarted at revision %d, want 15 at the latest", r)
+			}
+			return
+		}
+		d.RecordChange(r)
+	}
+	t.Error("the watch of config was not restarted")
+}
--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -95,6 +95,8 @@
 	refusedIPs map[string]bool
 	// cuts is the number of times that the store has cut off all open watches.
 	cuts int
+	// silences is, by kind, the number of times that the open watches have been silenced.
+	silences map[string]int
 	// staleLag is the age of the content that calls with allow_stale get, and past holds that
 	// content and all later ones.
 	staleLag time.Duration
@@ -416,13 +418,17 @@
 	}
 	deadline := pause.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
-	cuts := s.cutCount()
+	cutsBefore, silencesBefore := s.disruptions(kind)
 	for {
 		events, revision, gone, fault, changed := s.changesSince(kind, from)
 		rawSpecs := s.currentRawSpecs()
+		cuts, silences := s.disruptions(kind)
 		switch {
-		case s.cutCount() != cuts:
+		case cuts != cutsBefore:
 			panic(http.ErrAbortHandler)
+		case silences != silencesBefore:
+			<-r.Context().Done()
+			return
 		case fault == Down || fault == ClosedWatches || s.isCallerRefused(r):
 			panic(http.ErrAbortHandler)
 		case fault == Unresponsive:
@@ -473,10 +479,23 @@
 	return events, s.revision, from < s.historyStart || from > s.revision, s.fault, s.changed
 }
 
-func (s *Store) cutCount() int {
+// disruptions returns the number of times that the open watches of a kind have been cut off and
+// silenced.
+func (s *Store) disruptions(kind string) (cuts, silences int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts, s.silences[kind]
+}
+
+// SilenceWatches makes the open watches of a kind hear nothing any more.
+func (s *Store) SilenceWatches(kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cuts
+	if s.silences == nil {
+		s.silences = map[string]int{}
+	}
+	s.silences[kind]++
+	s.notifyWatches()
 }
 
 // CutWatches closes the connections of the open watches.
