A kind whose list was sent before a missing change is listed again

Cause: Detector.Check returned the kinds behind once and then took the revision for settled. While a kind is being listed there is no watch to cancel, and that list may have been sent before the change. If the watch after it hears nothing, no check looks for the change any more.

Change: a revision is settled once all kinds have reached it, not when they are returned. TestChangeOfUnfollowedKindRestartsWatchOnce assumed the former rule: it asked 20 times for one restart without ever telling the Detector that the kind had been listed, which no caller does. It now records the list that each restart makes, and still allows one restart in 20 checks; that a list which does not reach the revision leads to another restart is the new test.

--- a/internal/store/stalewatch/stalewatch.go
+++ b/internal/store/stalewatch/stalewatch.go
@@ -14,9 +14,10 @@
 // Every change in the store has its own revision. A revision that the store has reached
 // is missing if no watch has delivered it. If it is still missing at the following check,
 // one of the watches may have stalled. The caller then lists the kinds whose watches have
-// not reached the missing revision, which brings these kinds up to date. A revision that
-// is still missing after the list is assumed to be a change of a kind that this host does
-// not watch.
+// not reached the missing revision, which brings these kinds up to date. If a list does not
+// reach it either, because the list was sent before, the kind is returned again. A revision
+// that all kinds have reached and no watch has delivered is assumed to be a change of a kind
+// that this host does not watch.
 //
 // The revision must be known without stale answers at regular intervals: while no watch
 // delivers anything, nothing else shows how old a stale answer is. Shorter watches are no
@@ -77,7 +78,7 @@
 func (d *Detector) Check(revision int64) (kinds []string, isMissing bool) {
 	if d.isMissing(d.suspectRevision) {
 		kinds := d.kindsBehind(d.suspectRevision)
-		d.settleUpTo(d.suspectRevision)
+		d.suspectRevision = 0
 		return kinds, false
 	}
 	return nil, d.Suspect(revision)
--- a/internal/store/stalewatch/stalewatch_test.go
+++ b/internal/store/stalewatch/stalewatch_test.go
@@ -56,6 +56,9 @@
 	for range 20 {
 		kinds, _ := d.Check(11)
 		restarts += len(kinds)
+		for _, kind := range kinds {
+			d.RecordList(kind, 11)
+		}
 	}
 	if restarts != 1 {
 		t.Fatalf("%d restarts, want 1", restarts)
@@ -83,3 +86,21 @@
 	}
 	t.Error("the watch of config was not restarted")
 }
+
+// A check finds the kinds behind while one of them is being listed. That list was sent before the
+// missing change, and the watch after it hears nothing either (DRAIN).
+func TestKindIsReturnedAgainIfItsListIsTooOld(t *testing.T) {
+	var d Detector
+	d.RecordList("servers", 10)
+	d.RecordList("config", 10)
+	d.Check(11)
+	if kinds, _ := d.Check(11); len(kinds) != 2 {
+		t.Fatalf("restarted %v, want both kinds", kinds)
+	}
+	d.RecordList("config", 11)
+	d.RecordList("servers", 10)
+	d.Check(11)
+	if kinds, _ := d.Check(11); !slices.Equal(kinds, []string{"servers"}) {
+		t.Errorf("restarted %v, want servers, whose list did not reach the missing revision", kinds)
+	}
+}
