--- a/tests/standin/metadata/metadata.go
+++ b/tests/standin/metadata/metadata.go
@@ -95,6 +95,8 @@
 	refusedIPs map[string]bool
 	// cuts is the number of times that the store has cut off all open watches.
 	cuts int
+	// isClosing means that the store closes each connection after one answer.
+	isClosing bool
 	// silences is, by kind, the number of times that the open watches have been silenced.
 	silences map[string]int
 	// staleLag is the age of the content that calls with allow_stale get, and past holds that
@@ -377,7 +379,7 @@
 	case !exists || string(old.Spec) != string(body.Spec):
 		s.Put(kind, name, body.Spec)
 	}
-	writeJSON(w, nil, body)
+	s.writeJSON(w, nil, body)
 }
 
 // list answers with the first page of the objects of a kind whose names sort behind
@@ -400,7 +402,7 @@
 	rawSpecs := s.rawSpecs
 	// A caller that does not read must not keep others out.
 	s.mu.Unlock()
-	writeJSON(w, rawSpecs, struct {
+	s.writeJSON(w, rawSpecs, struct {
 		Items    []object `json:"items"`
 		More     bool     `json:"has_more"`
 		Revision int64    `json:"store_revision"`
@@ -445,7 +447,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
-			writeJSON(w, rawSpecs, struct {
+			s.writeJSON(w, rawSpecs, struct {
 				Events   []change `json:"events"`
 				Revision int64    `json:"store_revision"`
 			}{events, revision})
@@ -456,7 +458,7 @@
 		case <-r.Context().Done():
 			return
 		case <-deadline.C():
-			writeJSON(w, rawSpecs, struct {
+			s.writeJSON(w, rawSpecs, struct {
 				Events   []change `json:"events"`
 				Revision int64    `json:"store_revision"`
 			}{[]change{}, revision})
@@ -498,6 +500,14 @@
 	s.notifyWatches()
 }
 
+// SetClosing sets whether the store closes each connection after one answer, as a server does that
+// is about to end, and says so in the answer.
+func (s *Store) SetClosing(isClosing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isClosing = isClosing
+}
+
 // CutWatches closes the connections of the open watches.
 func (s *Store) CutWatches() {
 	s.mu.Lock()
@@ -514,7 +524,7 @@
 }
 
 // writeJSON writes an answer, with the raw specs in place of their placeholders.
-func writeJSON(w http.ResponseWriter, rawSpecs []string, body any) {
+func (s *Store) writeJSON(w http.ResponseWriter, rawSpecs []string, body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
@@ -523,6 +533,12 @@
 		text = bytes.ReplaceAll(text, []byte(strconv.Quote(rawPlaceholder(n))), []byte(raw))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	s.mu.Lock()
+	isClosing := s.isClosing
+	s.mu.Unlock()
+	if isClosing {
+		w.Header().Set("Connection", "close")
+	}
 	if _, err := w.Write(text); err != nil {
 		// The caller has closed the connection.
 		return
