What is kept after a loss of the store is kept since it was back, not since each list

What callers would see: a data centre gets no requests for longer than the 6 s for which orders are kept that the store may have lost, although its evacuation was withdrawn.

Cause: the 6 s began with the list of the evacuations. That list comes up to 0.6 s after the one that showed the loss, since the pauses between watches differ, and later at hosts that read from another. The same for servers that are named again.

--- a/internal/routing/membership/membership.go
+++ b/internal/routing/membership/membership.go
@@ -158,9 +158,10 @@
 
 // BeginEra records that the store has lost changes: the entries that Replace passes next may
 // be older than those before. A server that was removed lately and is named again stays out
-// of use for EraGrace, unless it writes its entry again.
-func (t *Table) BeginEra(now time.Time) {
-	t.isCopy, t.returned, t.returnAt = true, map[string]Entry{}, now.Add(EraGrace)
+// of use for EraGrace after since, from when on it can write to the store, unless it writes
+// its entry again.
+func (t *Table) BeginEra(since time.Time) {
+	t.isCopy, t.returned, t.returnAt = true, map[string]Entry{}, since.Add(EraGrace)
 }
 
 // returnsByLoss reports whether an entry is named again only because the store has lost the
